--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,922 @@
+// How this module is called. A gateway is made by New and told its deployment's figures part by part (OpType, Tenant,
+// Bound, Price, Chill, Follow, Expose, Judge). Facts are told to it: Take (a command came), ToldInstance, ToldOnly,
+// ToldListFailed, ToldListEnd, ToldStage, ToldVote, ToldTotals, ToldLoad, ToldProbe, ToldSums, ToldWrong, ToldFlowing,
+// ToldGone. It is asked three things: Where (to send this command, or not yet, or never), After (what to do after this
+// outcome) and Wait (how long until it is to be asked again, with the chores that are due). The types that go in and
+// out, and all that is remembered, are in state.go; docs/design.md gives the reasons. Times are whole nanoseconds.
+//
+// Reading order: the tuned values; Where, the ordinary path; the rules, which every delivery passes in allowed; the
+// choice of an instance; After and what is learned from it; facts; the pair test and the vote; Wait.
+
+package choice
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"sort"
+)
+
+const (
+	ms = int64(1e6)
+	s  = int64(1e9)
+
+	// The pair test, as the design page gives it.
+	phi         = 1.0
+	alpha       = 0.05
+	warmSkip    = 3 * s    // outcomes of an instance this young are no evidence
+	onWait      = 3 * s    // 'on' comes this long after the stage's latest listed start
+	poolEvery   = 500 * ms // running totals go out this often
+	voterCount  = 3        // voters hashed by build, or as many as votes are required
+	holdLevel   = 4.0      // under a clock a back vote is kept while the product stays above this
+	unlistedFor = 12 * s   // a stage whose machines the list does not show in full by then is judged by those shown
+	slowShare   = 0.2      // of the earlier build's answers lie above its learned level
+	slowMargin  = 1.35     // a trial answer is slow above this multiple of that level
+	slowPool    = 0.0      // ns; a level is not used before it has learned from enough answers
+	levelKnown  = 40       // answers that are enough
+	cellKinds   = 4        // counters in a cell: tries, failures, timed answers, slow ones
+
+	// Health.
+	patience     = 6.0      // a delivery is overdue after this many mean times
+	asideFirst   = 300 * ms // an instance set aside is tried again after this, doubled at each further failure
+	asideMost    = 5 * s
+	failingAside = 0.3  // smoothed share of errors, beyond that of its build, that sets an instance aside
+	limitStart   = 12.0 // of our own deliveries that an instance may hold at first
+	limitMost    = 200.0
+	congested    = 0.6 // of the service target: an answer slower than this lowers the limit
+	limitCut     = 0.85
+
+	heldLook    = 64  // held commands that are asked about at once
+	coldShare   = 0.4 // of the multiple that pushes a cold instance over; the rest is left for chance
+	pinnedShare = 0.6 // of the cap: pinned keys may ask for this much of it before no further key is pinned
+)
+
+// New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between two calls.
+func New(seed uint64, rank, peers, zone int, tick int64) *Gateway {
+	g := &Gateway{seed: seed, rank: rank, peers: max(peers, 1), zone: zone, tick: max(tick, ms)}
+	g.exposure.trial = map[int][]window{}
+	g.exposure.pinned = map[uint64]int{}
+	g.exposure.seen = map[uint64]int{}
+	g.exposure.build = -1
+	g.judge.heard = make([]*Totals, g.peers)
+	return g
+}
+
+// OpType adds one type of command.
+func (g *Gateway) OpType(target int64, stretch float64, timeout int64, importance, lateShare float64, kind Kind,
+	group Group, window int64) *OpType {
+	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout, importance: importance,
+		lateShare: lateShare, kind: kind, group: group, window: window,
+		mean: float64(target) / 4, dev: float64(target) / 8, level: float64(target) / 3}
+	g.ops = append(g.ops, op)
+	return op
+}
+
+// Tenant adds a customer with its share in commands a second over all gateways.
+func (g *Gateway) Tenant(quota float64) *Tenant {
+	t := &Tenant{quota: quota}
+	g.tenants = append(g.tenants, t)
+	return t
+}
+
+// Bound tells what is permitted of deliveries.
+func (g *Gateway) Bound(deliveries int, copies, cancel, probes, advice bool, comeBack int64) {
+	g.limits = limits{deliveries: deliveries, copies: copies, cancel: cancel, probes: probes}
+	if advice {
+		g.limits.comeBack = comeBack
+	}
+}
+
+// Price tells what crossing zones and wasted work cost.
+func (g *Gateway) Price(cross, waste float64) { g.limits.cross, g.limits.waste = cross, waste }
+
+// Chill tells how instances warm up and what pushes a cold one over.
+func (g *Gateway) Chill(from float64, warm int64, multiple float64, span int64) {
+	g.cold.from, g.cold.warm, g.cold.multiple, g.cold.span = from, warm, multiple, span
+}
+
+// Follow tells whether the list must be asked for its changes.
+func (g *Gateway) Follow(mustAsk bool, within int64) {
+	g.list.mustAsk, g.list.within, g.list.due = mustAsk, within, mustAsk
+}
+
+// Expose tells how deliveries to a build on trial are bounded.
+func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool, caps []float64) {
+	e := &g.exposure
+	e.window, e.allowance, e.byOp, e.closed, e.oneWay, e.caps = window, allowance, byOp, closed, oneWay, caps
+}
+
+// Judge tells how votes move builds.
+func (g *Gateway) Judge(control Control, on, back int, shares []float64, bake, life, answerIn int64, rate float64,
+	messages bool) {
+	j := &g.judge
+	j.control, j.on, j.back, j.shares, j.bake, j.life = control, on, back, shares, bake, life
+	j.answerIn, j.rate, j.messages = answerIn, rate, messages && g.peers > 1
+}
+
+// Take books a command that came with the time its client still waits.
+func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left int64, repeat bool, now int64) *Command {
+	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
+	cmd.target = min(now+op.target+int64(op.stretch*float64(work)), cmd.lastAnswer)
+	cmd.weight = op.importance / max(op.mean, 1)
+	if tenant != nil && g.overShare(tenant, now) {
+		cmd.weight *= 0.01 // what lies beyond a tenant's share is worth little: it comes last
+	}
+	e := &g.exposure
+	e.taken.add(now, e.window)
+	op.taken.add(now, e.window)
+	g.cold.taken.add(now, g.cold.span)
+	if e.oneWay && key != 0 {
+		e.seen[key]++
+		e.all++
+		if _, ok := e.pinned[key]; ok {
+			e.pinning++
+		}
+	}
+	return cmd
+}
+
+// overShare tells whether a tenant sends more than its share of what this gateway sees. A gateway cannot know the
+// others' traffic, so it compares shares of its own.
+func (g *Gateway) overShare(t *Tenant, now int64) bool {
+	t.recent = t.recent*math.Exp(-float64(now-t.at)/2e9) + 1
+	t.at = now
+	var quotas, recent float64
+	for _, o := range g.tenants {
+		quotas += o.quota
+		recent += o.recent * math.Exp(-float64(now-o.at)/2e9)
+	}
+	return t.recent > 10 && t.recent/recent > 1.25*t.quota/quotas
+}
+
+// Where decides on a command that needs a delivery: the ordinary path, from top to bottom.
+func (g *Gateway) Where(cmd *Command, now int64) Decision {
+	if cmd.Ended || cmd.Open > 0 {
+		return Decision{Act: Nothing}
+	}
+	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be worth
+	// something; else the final answer goes out at once.
+	left := cmd.lastAnswer - now
+	if cmd.op.lateShare <= 0 {
+		left = cmd.target - now
+	}
+	if left <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
+		return g.giveUp(cmd)
+	}
+	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of ours.
+	to := g.pick(cmd, true, now)
+	if to == nil {
+		to = g.pick(cmd, false, now)
+	}
+	if to == nil {
+		return g.hold(cmd)
+	}
+	return g.launch(cmd, to, now)
+}
+
+// expected is the time a delivery of this command is expected to take. A command's first delivery is not refused for
+// a mean that trouble has inflated.
+func (g *Gateway) expected(cmd *Command) float64 {
+	if len(cmd.Deliveries) == 0 {
+		return min(cmd.op.mean, float64(cmd.op.target)/3)
+	}
+	return cmd.op.mean
+}
+
+// launch is the one place through which every delivery passes.
+func (g *Gateway) launch(cmd *Command, to *Instance, now int64) Decision {
+	if !g.allowed(cmd, to, now) {
+		return g.hold(cmd)
+	}
+	g.unhold(cmd)
+	dl := &Delivery{Number: len(cmd.Deliveries), Cmd: cmd, To: to, sentAt: now, build: to.build, zone: to.zone, cell: to.cell,
+		mayRun: true,
+		cold:   to.startedAt > 0 && now-to.startedAt < warmSkip}
+	cmd.Deliveries = append(cmd.Deliveries, dl)
+	cmd.Open++
+	to.open = append(to.open, dl)
+	to.sent.add(now, g.cold.span)
+	if g.onTrial(to.build) {
+		w := g.trialWindow(to.build, cmd.op)
+		w.add(now, g.exposure.window)
+	}
+	return Decision{Act: Send, To: to, For: g.timeOut(cmd, now), Delivery: dl}
+}
+
+// timeOut bounds one delivery so that a further one still fits; at-most-once commands wait for the client's patience.
+func (g *Gateway) timeOut(cmd *Command, now int64) int64 {
+	left := cmd.lastAnswer - now
+	if cmd.op.kind == AtMostOnce || len(cmd.Deliveries) >= g.limits.deliveries {
+		return left
+	}
+	own := int64(min(cmd.op.mean*patience, float64(cmd.op.target)*0.8))
+	if cmd.op.kind == Deduplicated {
+		own = min(own, cmd.op.window/2)
+	}
+	if left-own <= int64(cmd.op.mean) {
+		return left
+	}
+	return own
+}
+
+// hold keeps a command for later; Wait brings it back.
+func (g *Gateway) hold(cmd *Command) Decision {
+	if !cmd.held {
+		cmd.held = true
+		at := sort.Search(len(g.held), func(i int) bool { return g.held[i].weight < cmd.weight })
+		g.held = append(g.held, nil)
+		copy(g.held[at+1:], g.held[at:])
+		g.held[at] = cmd
+	}
+	return Decision{Act: Hold}
+}
+
+func (g *Gateway) unhold(cmd *Command) {
+	if !cmd.held {
+		return
+	}
+	cmd.held = false
+	for i, c := range g.held {
+		if c == cmd {
+			g.held = append(g.held[:i], g.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// giveUp gives the final answer. A nack says that trying again is harmless: only where no delivery can have run, or
+// where a repeat does no harm.
+func (g *Gateway) giveUp(cmd *Command) Decision {
+	g.unhold(cmd)
+	cmd.Ended = true
+	nack := cmd.op.kind == Redeliverable || cmd.op.kind == Deduplicated && cmd.op.group == GroupAll
+	if !nack {
+		nack = true
+		for _, dl := range cmd.Deliveries {
+			nack = nack && !dl.mayRun
+		}
+	}
+	if !nack {
+		return Decision{Act: Fail}
+	}
+	return Decision{Act: Nack, After: min(g.limits.comeBack, int64(cmd.op.mean))}
+}
+
+// allowed checks the rules for one delivery, each on this gateway's own knowledge.
+func (g *Gateway) allowed(cmd *Command, to *Instance, now int64) bool {
+	if cmd.Ended || now >= cmd.lastAnswer || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
+		return false
+	}
+	return to.listed && to.ready && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
+}
+
+// harmless: no effect twice.
+func (g *Gateway) harmless(cmd *Command, to *Instance, now int64) bool {
+	if cmd.op.kind == Redeliverable {
+		return true
+	}
+	for _, dl := range cmd.Deliveries {
+		if !dl.mayRun {
+			continue
+		}
+		if cmd.op.kind == AtMostOnce || now+g.tick >= dl.sentAt+cmd.op.window {
+			return false
+		}
+		if cmd.op.group == GroupZone && dl.zone != to.zone || cmd.op.group == GroupCell && dl.cell != to.cell {
+			return false
+		}
+	}
+	return true
+}
+
+// onTrial: a build is on trial unless it is told to be released; one not yet announced is.
+func (g *Gateway) onTrial(build int) bool {
+	e := &g.exposure
+	return build > e.build || build == e.build && e.phase != Released
+}
+
+func (g *Gateway) trialWindow(build int, op *OpType) *window {
+	e := &g.exposure
+	if e.trial[build] == nil {
+		e.trial[build] = make([]window, len(g.ops))
+	}
+	if e.byOp {
+		return &e.trial[build][op.number]
+	}
+	return &e.trial[build][0]
+}
+
+// exposed: the cap on a build on trial, the stages closed to effects, and keys that move forward only. A lower cap is
+// applied at once, to deliveries made before it as well: the grace is never used.
+func (g *Gateway) exposed(cmd *Command, to *Instance, now int64) bool {
+	e := &g.exposure
+	if e.oneWay && cmd.key != 0 && to.build < e.pinned[cmd.key] {
+		return false
+	}
+	if !g.onTrial(to.build) {
+		return true
+	}
+	stage, most := 0, 0.0
+	if len(e.caps) > 0 {
+		most = e.caps[0]
+	}
+	if to.build == e.build {
+		stage, most = e.stage, e.cap
+	}
+	if most <= 0 || stage < e.closed && cmd.op.kind != Redeliverable {
+		return false
+	}
+	taken := &e.taken
+	if e.byOp {
+		taken = &cmd.op.taken
+	}
+	sent := g.trialWindow(to.build, cmd.op).count(now - e.window - g.tick)
+	return float64(sent+1) <= e.allowance+most*float64(taken.count(now-e.window+g.tick))
+}
+
+// coldRoom bounds what a fresh instance gets, as a budget over the stated span. The gateways do not hear of each
+// other's deliveries; if each keeps to a fraction of what an instance of that size would get of its own commands, the
+// sum keeps to that fraction as well. A gateway with little traffic, or with no history yet, has a budget of one.
+func (g *Gateway) coldRoom(to *Instance, now int64) bool {
+	c := &g.cold
+	age := now - to.startedAt
+	if to.startedAt <= 0 || age > c.warm+c.span {
+		return true
+	}
+	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span)/float64(max(c.warm, 1))))
+	share := float64(c.taken.count(now-c.span)) * to.size / max(g.list.places, to.size)
+	if warm, sent := g.warmLoad(now); warm > 0 {
+		share = min(share, sent/warm*to.size)
+	}
+	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, c.multiple*able*coldShare*share)
+}
+
+// warmLoad sums the sizes of warm instances and what we sent them within the cold span.
+func (g *Gateway) warmLoad(now int64) (size, sent float64) {
+	for _, it := range g.instances {
+		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
+			size += it.size
+			sent += float64(it.sent.count(now - g.cold.span))
+		}
+	}
+	return size, sent
+}
+
+// pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
+// in doubt are drawn only where no other is left; at-most-once commands never go where a delivery is overdue.
+func (g *Gateway) pick(cmd *Command, trial bool, now int64) *Instance {
+	for _, doubtful := range []bool{false, true} {
+		g.scratch = g.scratch[:0]
+		for _, it := range g.instances {
+			if !it.ready || g.onTrial(it.build) != trial || float64(len(it.open)) >= it.limit {
+				continue
+			}
+			if trial && !g.mayPin(cmd) {
+				continue
+			}
+			if g.doubted(it, now) != doubtful || doubtful && (trial || cmd.op.kind == AtMostOnce && g.overdue(it, now)) {
+				continue
+			}
+			if g.allowed(cmd, it, now) {
+				g.scratch = append(g.scratch, it)
+			}
+		}
+		if n := len(g.scratch); n > 0 {
+			first := g.draw(n)
+			a, b := g.scratch[first], g.scratch[(first+1+g.draw(max(n-1, 1)))%n]
+			if g.burden(b, cmd) < g.burden(a, cmd) {
+				return b
+			}
+			return a
+		}
+	}
+	return nil
+}
+
+// burden is what decides between two instances: our own in flight there.
+func (g *Gateway) burden(it *Instance, cmd *Command) float64 {
+	load := float64(len(it.open)+1) * it.slow / max(it.size, 0.01)
+	for _, dl := range cmd.Deliveries {
+		if dl.To == it {
+			load *= 4 // it has failed this command already
+		}
+	}
+	if it.zone != g.zone {
+		load *= 1 + 10*g.limits.cross
+	}
+	return load
+}
+
+// mayPin keeps one-way keys from outgrowing the cap: a key that the trial answers must stay there, so rare keys go
+// first, and none while the pinned ones already ask for most of the cap.
+func (g *Gateway) mayPin(cmd *Command) bool {
+	e := &g.exposure
+	if !e.oneWay || cmd.key == 0 || e.cap >= 1 {
+		return true
+	}
+	if _, ok := e.pinned[cmd.key]; ok {
+		return true
+	}
+	return float64(e.pinning) <= pinnedShare*e.cap*float64(e.all) &&
+		float64(e.seen[cmd.key]-1) <= 0.1*e.cap*float64(e.all)
+}
+
+// overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back since.
+func (g *Gateway) overdue(it *Instance, now int64) bool {
+	for _, dl := range it.open {
+		if it.heardAt < dl.sentAt && float64(now-dl.sentAt) > patience*dl.Cmd.op.mean {
+			return true
+		}
+	}
+	return false
+}
+
+// doubted: set aside, or on probation with a delivery out, or silent.
+func (g *Gateway) doubted(it *Instance, now int64) bool {
+	return now < it.asideUntil || it.strikes > 0 && len(it.open) > 0 || g.overdue(it, now)
+}
+
+// After takes in how a delivery ended and decides on its command.
+func (g *Gateway) After(dl *Delivery, how Outcome, took int64, settled bool, now int64) Decision {
+	cmd, to := dl.Cmd, dl.To
+	if dl.Done {
+		return Decision{Act: Nothing}
+	}
+	dl.Done = true
+	cmd.Open--
+	for i, o := range to.open {
+		if o == dl {
+			to.open = append(to.open[:i], to.open[i+1:]...)
+			break
+		}
+	}
+	if how == Rejected || how == Unconnected || how == Unsent {
+		dl.mayRun = false
+	}
+	g.tend(dl, how, took, now)
+	g.witness(dl, how, took)
+	if how == Acked && g.exposure.oneWay && cmd.key != 0 && dl.build > g.exposure.pinned[cmd.key] && g.onTrial(dl.build) {
+		if _, ok := g.exposure.pinned[cmd.key]; !ok {
+			g.exposure.pinning += g.exposure.seen[cmd.key]
+		}
+		g.exposure.pinned[cmd.key] = dl.build
+	}
+	if settled || how == Acked {
+		cmd.Ended = true
+		g.unhold(cmd)
+	}
+	if cmd.Ended || cmd.Open > 0 {
+		return Decision{Act: Nothing}
+	}
+	if cmd.op.kind != Redeliverable && dl.mayRun && cmd.op.kind == AtMostOnce {
+		return g.giveUp(cmd)
+	}
+	return g.Where(cmd, now)
+}
+
+// tend keeps an instance's health: its limit, its speed, and whether it is set aside.
+func (g *Gateway) tend(dl *Delivery, how Outcome, took, now int64) {
+	to, op := dl.To, dl.Cmd.op
+	time := float64(took)
+	switch how {
+	case Acked, Errored, Rejected:
+		to.heardAt = now
+	}
+	switch how {
+	case Acked:
+		to.strikes, to.asideUntil = 0, 0
+		to.failing *= 0.85
+		op.dev += 0.05 * (math.Abs(time-op.mean) - op.dev)
+		op.mean += 0.05 * (time - op.mean)
+		to.slow += 0.08 * (min(time/max(op.mean, 1), 8) - to.slow)
+		to.slow = max(0.3, min(6, to.slow))
+		if time > congested*float64(op.target) {
+			g.cut(to, now)
+		} else if float64(len(to.open)+1) > to.limit/2 {
+			to.limit = min(limitMost, to.limit+1/to.limit)
+		}
+	case Errored:
+		to.failing += 0.15 * (1 - to.failing)
+		if to.failing > failingAside+g.failingOf(to) {
+			to.asideUntil = now + s
+		}
+	case Rejected:
+		g.cut(to, now)
+	case TimedOut, Broken, Unconnected:
+		g.cut(to, now)
+		if how == Unconnected || to.heardAt < dl.sentAt {
+			to.strikes++
+			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
+		}
+	}
+}
+
+// failingOf is the mean share of errors of the other ready instances of an instance's build: what they all suffer
+// is the build's and no ground to set one aside.
+func (g *Gateway) failingOf(to *Instance) float64 {
+	sum, n := 0.0, 0.0
+	for _, it := range g.instances {
+		if it != to && it.ready && it.build == to.build {
+			sum, n = sum+it.failing, n+1
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+func (g *Gateway) cut(to *Instance, now int64) {
+	if now-to.cutAt > 100*ms {
+		to.limit, to.cutAt = max(1, to.limit*limitCut), now
+	}
+}
+
+// ToldInstance tells one line of the list.
+func (g *Gateway) ToldInstance(it *Instance, ready, present bool, build, zone, model, cell int, size float64,
+	startedAt, now int64) {
+	if !it.listed {
+		it.listed = true
+		g.instances = append(g.instances, it)
+	}
+	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
+		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, 1, 0, 0, 0
+	}
+	it.ready, it.build, it.zone, it.model, it.cell = ready && present, build, zone, model, cell
+	it.size, it.startedAt = size, startedAt
+	if size <= 0 {
+		it.size = 1
+	}
+}
+
+// ToldOnly tells which instances a whole list named: the others are gone.
+func (g *Gateway) ToldOnly(named map[*Instance]bool, now int64) {
+	for _, it := range g.instances {
+		if !named[it] {
+			it.ready = false
+		}
+	}
+}
+
+// ToldListEnd closes an update of the list.
+func (g *Gateway) ToldListEnd(cached bool, now int64) {
+	sum, newest := 0.0, 0
+	for _, it := range g.instances {
+		if it.ready {
+			sum += it.size
+			newest = max(newest, it.build)
+		}
+	}
+	g.list.places = max(g.list.places, sum)
+	if !cached {
+		g.list.tries = 0
+	}
+	g.regard(newest, now)
+}
+
+// ToldListFailed: a call to the list failed or its watch broke; it is asked again, later each time.
+func (g *Gateway) ToldListFailed(now int64) {
+	if g.list.mustAsk {
+		g.list.tries++
+		g.list.due = true
+		g.list.askAt = now + 200*ms<<min(g.list.tries, 4) + int64(g.draw(300))*ms
+	}
+}
+
+// ToldStage tells where the newest build stands.
+func (g *Gateway) ToldStage(build, stage int, phase Phase, most float64, since, now int64) {
+	e, j := &g.exposure, &g.judge
+	if build < e.build {
+		return
+	}
+	if build != e.build || stage != e.stage || phase != e.phase {
+		j.stageAt = now - since
+		j.againAt = 0
+	}
+	e.build, e.stage, e.phase, e.cap = build, stage, phase, most
+	if phase == GoingBack || phase == TakenOff {
+		for key, pin := range e.pinned {
+			if pin >= build {
+				delete(e.pinned, key)
+			}
+		}
+		e.pinning = 0
+	}
+	g.regard(build, now)
+}
+
+// ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the platform's
+// calls are shared by all gateways. One that may have counted is repeated too.
+func (g *Gateway) ToldVote(how Outcome, now int64) {
+	j := &g.judge
+	j.waiting = false
+	switch how {
+	case Acked:
+		j.againAt = j.votedAt + j.life/2
+	case Unsent:
+		j.vote = Vote{}
+		j.againAt = now + 500*ms
+	default:
+		j.againAt = now + 300*ms + int64(g.draw(400))*ms
+	}
+}
+
+// ToldTotals tells a peer's running totals; the latest of each sender stands.
+func (g *Gateway) ToldTotals(t *Totals, now int64) {
+	if t.From < 0 || t.From >= len(g.judge.heard) || t.From == g.rank || len(t.Cells) != g.cells() {
+		return
+	}
+	if had := g.judge.heard[t.From]; had == nil || t.Build > had.Build || t.Build == had.Build && t.At > had.At {
+		g.judge.heard[t.From] = t
+	}
+}
+
+// ToldLoad tells how busy an instance says it is.
+func (g *Gateway) ToldLoad(it *Instance, busy float64, now int64) { it.busy = busy }
+
+// ToldProbe tells how a probe ended.
+func (g *Gateway) ToldProbe(it *Instance, how Outcome, took, now int64) {
+	if how == Acked {
+		it.heardAt = now
+	}
+}
+
+// ToldSums tells what the platform counted of a build and op type.
+func (g *Gateway) ToldSums(build int, op *OpType, tries, failed uint32, now int64) {}
+
+// ToldWrong tells that a client judged an answer of an instance wrong.
+func (g *Gateway) ToldWrong(it *Instance, op *OpType, sentAt, now int64) {
+	if j := &g.judge; j.build > 0 && sentAt >= j.seenAt {
+		j.own[g.cell(it.build >= j.build, op)+1]++
+	}
+}
+
+// ToldFlowing tells that an answer has begun to stream: it belongs to the client from here on.
+func (g *Gateway) ToldFlowing(dl *Delivery, now int64) {
+	dl.To.heardAt = now
+	dl.Cmd.Ended = true
+}
+
+// ToldGone tells that the client has left.
+func (g *Gateway) ToldGone(cmd *Command) {
+	cmd.Ended = true
+	g.unhold(cmd)
+}
+
+// regard starts the judgement of a build when it is first heard of.
+func (g *Gateway) regard(build int, now int64) {
+	j := &g.judge
+	if g.exposure.build < 0 || build <= j.build || !g.onTrial(build) {
+		return // the build of the start is not on trial
+	}
+	j.build, j.seenAt, j.against = build, now, false
+	j.own = make([]uint32, g.cells())
+	j.vote, j.againAt = Vote{}, 0
+}
+
+func (g *Gateway) cells() int { return 2 * len(g.ops) * cellKinds }
+
+func (g *Gateway) cell(trial bool, op *OpType) int {
+	if trial {
+		return op.number * cellKinds
+	}
+	return (len(g.ops) + op.number) * cellKinds
+}
+
+// witness counts an outcome as evidence for or against its build.
+func (g *Gateway) witness(dl *Delivery, how Outcome, took int64) {
+	j, op := &g.judge, dl.Cmd.op
+	trial := dl.build >= j.build && j.own != nil
+	time := float64(took)
+	if how == Acked && !dl.cold && !trial {
+		gain := max(0.02, 1/(1+op.known/4))
+		op.known++
+		if time > op.level {
+			op.level *= math.Exp(gain * (1 - slowShare))
+		} else {
+			op.level *= math.Exp(-gain * slowShare)
+		}
+	}
+	if j.own == nil || dl.cold || dl.sentAt < j.seenAt {
+		return
+	}
+	c := j.own[g.cell(trial, op):]
+	switch how {
+	case Acked:
+		c[0]++
+		if op.known >= levelKnown {
+			c[2]++
+			if trial {
+				time /= slowMargin
+			}
+			if time > op.level {
+				c[3]++
+			}
+		}
+	case Errored, TimedOut, Broken:
+		c[0]++
+		c[1]++
+	}
+}
+
+// product is one build's factor of the paper's pair test, in logarithms:
+// M = phi^phi / (phi+L)^(phi+n) * Gamma(phi+n) / Gamma(phi) * e^L.
+func product(n, l float64) float64 {
+	a, _ := math.Lgamma(phi + n)
+	b, _ := math.Lgamma(phi)
+	return phi*math.Log(phi) - (phi+n)*math.Log(phi+l) + a - b + l
+}
+
+// pair is the test's product over both builds, in logarithms; it speaks against the trial only where the trial fails
+// above its L. No attempts on a side give 1.
+func pair(trialTries, trialFails, baseTries, baseFails float64) float64 {
+	if trialTries == 0 || baseTries == 0 {
+		return 0
+	}
+	rate := (trialFails + baseFails) / (trialTries + baseTries)
+	lt, lb := trialTries*rate, baseTries*rate
+	e := product(trialFails, lt) + product(baseFails, lb)
+	if trialFails <= lt {
+		return min(e, 0)
+	}
+	return e
+}
+
+// evidence pools the totals of all gateways on the build and averages the products: an average of such products keeps
+// the level alpha, so a look at each op type and at slow answers is paid for by the average.
+func (g *Gateway) evidence() float64 {
+	j := &g.judge
+	sum := make([]uint32, len(j.own))
+	copy(sum, j.own)
+	for _, t := range j.heard {
+		if t != nil && t.Build == j.build {
+			for i, n := range t.Cells {
+				sum[i] += n
+			}
+		}
+	}
+	var tt, tf, bt, bf float64
+	var logs []float64
+	for _, op := range g.ops {
+		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
+		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
+		logs = append(logs, pair(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])),
+			pair(float64(t[2]), float64(t[3]), float64(b[2]), float64(b[3])))
+	}
+	logs = append(logs, pair(tt, tf, bt, bf))
+	top, mean := logs[0], 0.0
+	for _, l := range logs {
+		top = max(top, l)
+	}
+	for _, l := range logs {
+		mean += math.Exp(l-top) / float64(len(logs))
+	}
+	return top + math.Log(mean)
+}
+
+// voters are drawn by hash of the build: three, or as many as the votes required.
+func (g *Gateway) voters(build int) []int {
+	n := min(g.peers, max(voterCount, g.judge.on, g.judge.back))
+	if !g.judge.messages {
+		n = g.peers
+	}
+	all := make([]int, g.peers)
+	for i := range all {
+		all[i] = i
+	}
+	sort.SliceStable(all, func(a, b int) bool {
+		return mix(uint64(build), uint64(all[a])) < mix(uint64(build), uint64(all[b]))
+	})
+	return all[:n]
+}
+
+// opinion is this gateway's vote now, if it is a voter.
+func (g *Gateway) opinion(now int64) Verdict {
+	j, e := &g.judge, &g.exposure
+	if j.own == nil || e.build != j.build || e.phase == GoingBack || e.phase == TakenOff {
+		return VoteNone
+	}
+	level := g.evidence()
+	if level >= math.Log(1/alpha) {
+		j.against = true
+	} else if j.control == ControlClock && level < math.Log(holdLevel) {
+		j.against = false
+	}
+	if j.against {
+		return VoteBack
+	}
+	if e.phase != OnTrial || j.control == ControlClock {
+		return VoteNone
+	}
+	if latest, all := g.latestStart(); latest > 0 && now-latest >= onWait && (all || now-j.stageAt > unlistedFor) {
+		return VoteOn
+	}
+	return VoteNone
+}
+
+// latestStart is the latest listed start of the build's machines, and whether the list shows all of the stage's.
+func (g *Gateway) latestStart() (latest int64, all bool) {
+	e := &g.exposure
+	sizes := 0.0
+	for _, it := range g.instances {
+		if it.ready && it.build == e.build {
+			latest = max(latest, it.startedAt)
+			sizes += it.size
+		}
+	}
+	if e.stage >= len(g.judge.shares) {
+		return latest, true
+	}
+	return latest, sizes >= 0.8*g.judge.shares[e.stage]*g.list.places
+}
+
+// Wait tells how long until it is to be asked again, and the chores that are due.
+func (g *Gateway) Wait(now int64) (int64, Chores) {
+	var due Chores
+	until := now + 10*s
+	for i, cmd := range g.held {
+		// The head of the queue, and whoever's time is about to run out.
+		if i < heldLook || cmd.lastAnswer-now <= int64(g.expected(cmd))+4*g.tick {
+			due.Ready = append(due.Ready, cmd)
+		}
+	}
+	if len(g.held) > 0 {
+		until = now + 2*g.tick
+	}
+	if g.list.due {
+		if now >= g.list.askAt {
+			g.list.due, due.Watch = false, true
+		} else {
+			until = min(until, g.list.askAt)
+		}
+	}
+	j := &g.judge
+	if j.own != nil {
+		voters, voting := g.voters(j.build), false
+		for _, v := range voters {
+			voting = voting || v == g.rank
+		}
+		if now >= j.totalsAt {
+			j.totalsAt = now + poolEvery
+			if j.messages {
+				due.Totals = &Totals{From: g.rank, At: now, Build: j.build, Cells: append([]uint32(nil), j.own...)}
+				for _, v := range voters {
+					if v != g.rank {
+						due.Voters = append(due.Voters, v)
+					}
+				}
+			}
+			if voting {
+				g.vote(now, &due)
+			}
+		}
+		until = min(until, j.totalsAt)
+	}
+	return max(until-now, g.tick), due
+}
+
+// vote casts this gateway's vote when it has changed, before it lapses, and again after a lost answer.
+func (g *Gateway) vote(now int64, due *Chores) {
+	j, e := &g.judge, &g.exposure
+	v := Vote{Build: j.build, Stage: e.stage, Verdict: g.opinion(now)}
+	if v.Verdict == VoteNone && j.vote.Verdict == VoteNone || j.waiting && now < j.votedAt+j.answerIn+s {
+		return
+	}
+	if v == j.vote && now < j.againAt {
+		return
+	}
+	if v.Verdict == VoteNone && e.phase != OnTrial {
+		return
+	}
+	due.Votes = append(due.Votes, v)
+	j.vote, j.votedAt, j.waiting, j.againAt = v, now, true, now+j.answerIn
+}
+
+// draw gives an even number below n from the seed and a counter.
+func (g *Gateway) draw(n int) int {
+	g.drawn++
+	return int(mix(g.seed, g.drawn) >> 20 % uint64(n))
+}
+
+func mix(a, b uint64) uint64 {
+	var text [16]byte
+	binary.LittleEndian.PutUint64(text[:8], b)
+	binary.LittleEndian.PutUint64(text[8:], a)
+	h := fnv.New64a()
+	h.Write(text[:])
+	return h.Sum64()
+}
+
+// add books an event and forgets those older than the span, with some to spare.
+func (w *window) add(now, span int64) {
+	cut := 0
+	for cut < len(w.at) && w.at[cut] < now-2*span {
+		cut++
+	}
+	w.at = append(w.at[cut:], now)
+}
+
+// count tells how many events came after a moment.
+func (w *window) count(after int64) int {
+	return len(w.at) - sort.Search(len(w.at), func(i int) bool { return w.at[i] > after })
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,292 @@
+// Package choice decides for one gateway; choice.go holds every decision, this file only what it remembers.
+package choice
+
+// Kind says how often a command of an op type may run.
+type Kind uint8
+
+// The three kinds of op type.
+const (
+	Redeliverable Kind = iota
+	Deduplicated
+	AtMostOnce
+)
+
+// Group names the instances that drop repeats of a deduplicated command.
+type Group uint8
+
+// The groups that drop repeats.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Outcome says how a delivery, a vote or a probe ended.
+type Outcome uint8
+
+// The outcomes. Rejected, Unconnected and Unsent prove that the command never ran.
+const (
+	Acked Outcome = iota
+	Errored
+	Rejected
+	TimedOut
+	Unconnected
+	Broken
+	Withdrawn
+	Unsent
+)
+
+// Control says how votes move a build.
+type Control uint8
+
+// The ways votes act: one vote is enough, a number of gateways is needed, or a clock moves stages on.
+const (
+	ControlAny Control = iota
+	ControlShare
+	ControlClock
+)
+
+// Phase is where a build stands.
+type Phase uint8
+
+// The phases of a build.
+const (
+	OnTrial Phase = iota
+	GoingBack
+	Released
+	TakenOff
+)
+
+// Verdict is a vote's word on a build.
+type Verdict uint8
+
+// The verdicts.
+const (
+	VoteNone Verdict = iota
+	VoteOn
+	VoteHold
+	VoteBack
+)
+
+// Act is what the caller is to do with a command now.
+type Act uint8
+
+// Nothing: the command is over or a delivery is out. Hold: not yet; Chores.Ready names it when its turn has come.
+// Send: deliver to To, for at most For. Nack and Fail are final answers; After tells the client when to come back.
+const (
+	Nothing Act = iota
+	Hold
+	Send
+	Nack
+	Fail
+)
+
+// Decision answers "where to send this command" and "what to do after this outcome".
+type Decision struct {
+	Act      Act
+	To       *Instance
+	For      int64 // ns; the delivery's own time-out
+	After    int64 // ns; advice to the client with a Nack, 0 for none
+	Delivery *Delivery
+}
+
+// Vote is due to be cast.
+type Vote struct {
+	Build, Stage int
+	Verdict      Verdict
+}
+
+// Chores are what is due besides commands: they come back with the wait.
+type Chores struct {
+	Ready  []*Command  // held commands to ask about again, in this order
+	Votes  []Vote      // at most one
+	Totals *Totals     // to be sent to the gateways in Voters
+	Voters []int       // numbers of gateways
+	Watch  bool        // ask the list for its changes
+	Probe  []*Instance // instances to probe
+	Cancel []*Delivery // deliveries to call off
+}
+
+// Totals is one gateway's running evidence on a build, as sent to the voters: plain counters, laid out by the module.
+type Totals struct {
+	From  int   // the sender's number
+	At    int64 // ns; when it was counted: the latest stands
+	Build int
+	Cells []uint32
+}
+
+// Delivery lives from its sending to its outcome.
+type Delivery struct {
+	Number int
+	Cmd    *Command
+	To     *Instance
+	Done   bool
+
+	sentAt int64
+	build  int // what the instance was when it was sent
+	zone   int
+	cell   int
+	mayRun bool // it is out, or its outcome does not prove that it never ran
+	cold   bool // the instance was in its first seconds
+}
+
+// Command lives from its arrival to its final answer.
+type Command struct {
+	Deliveries []*Delivery
+	Open       int  // deliveries still out
+	Ended      bool // its final answer is given
+
+	op         *OpType
+	tenant     *Tenant
+	key        uint64
+	takenAt    int64
+	target     int64 // the moment by which its answer is worth the whole
+	lastAnswer int64 // the moment at which the client gives up
+	weight     float64
+	held       bool
+}
+
+// OpType is one type of command, with what its answers have taught.
+type OpType struct {
+	number     int
+	target     int64
+	stretch    float64
+	timeout    int64
+	importance float64
+	lateShare  float64
+	kind       Kind
+	group      Group
+	window     int64
+
+	mean  float64 // ns; smoothed time of answers
+	dev   float64 // ns; smoothed deviation from it
+	level float64 // ns; the time that a fixed share of the earlier build's answers exceeds
+	known float64 // answers the level has learned from
+	taken window  // commands taken, where exposure is counted by op type
+}
+
+// Tenant is one customer's share.
+type Tenant struct {
+	quota  float64 // commands a second within its share, over all gateways
+	recent float64 // its commands lately, decaying
+	at     int64
+}
+
+// Instance lives as long as the list names it.
+type Instance struct {
+	listed    bool
+	ready     bool
+	build     int
+	zone      int
+	model     int
+	cell      int
+	size      float64
+	startedAt int64
+
+	open       []*Delivery // ours, in sending order
+	sent       window      // our deliveries within the cold span
+	limit      float64     // how many of ours it may hold
+	cutAt      int64       // when the limit was last cut
+	slow       float64     // smoothed time of its answers against the op types' means
+	busy       float64     // its own figure, where it reports one
+	heardAt    int64       // its last sign of life
+	strikes    int         // silent failures in a row
+	asideUntil int64
+	failing    float64 // smoothed share of errors
+}
+
+// window holds the moments of events within a sliding span.
+type window struct{ at []int64 }
+
+// Gateway lives from its start to its end.
+type Gateway struct {
+	rank, peers int
+	zone        int
+	tick        int64
+	seed, drawn uint64
+	instances   []*Instance
+	ops         []*OpType
+	tenants     []*Tenant
+	held        []*Command
+	scratch     []*Instance
+	limits      limits
+	exposure    exposure
+	cold        cold
+	list        list
+	judge       judge
+}
+
+// limits is what this deployment permits of deliveries.
+type limits struct {
+	deliveries int
+	copies     bool
+	cancel     bool
+	probes     bool
+	comeBack   int64 // the longest advice a client honours, 0 where it gets none
+	cross      float64
+	waste      float64
+}
+
+// exposure bounds deliveries to a build on trial.
+type exposure struct {
+	window    int64
+	allowance float64
+	byOp      bool
+	closed    int
+	oneWay    bool
+	caps      []float64
+
+	build   int
+	stage   int
+	phase   Phase
+	cap     float64
+	taken   window
+	trial   map[int][]window // by build, then by op type (or one for all)
+	pinned  map[uint64]int   // a key to the newest build that has answered it
+	seen    map[uint64]int   // how often a key has come
+	all     int              // commands with a key
+	pinning int              // those of them with a pinned key
+}
+
+// cold bounds deliveries to an instance that has just started.
+type cold struct {
+	from     float64
+	warm     int64
+	multiple float64
+	span     int64
+	taken    window
+}
+
+// list follows the list of instances.
+type list struct {
+	mustAsk bool
+	within  int64
+	due     bool
+	askAt   int64
+	tries   int
+	places  float64 // the largest sum of sizes seen ready at once
+}
+
+// judge is the pair test and the vote.
+type judge struct {
+	control  Control
+	on, back int
+	shares   []float64
+	bake     int64
+	life     int64
+	answerIn int64
+	rate     float64
+	messages bool
+
+	build    int // the build under judgement, 0 for none
+	own      []uint32
+	heard    []*Totals // each sender's latest, by number
+	seenAt   int64     // when the list first showed the build
+	stageAt  int64     // when the present stage was first heard of
+	totalsAt int64     // when totals are next due
+	against  bool      // the product has reached its level
+	vote     Vote      // the last one cast
+	votedAt  int64
+	waiting  bool // for its answer
+	againAt  int64
+}
--- /dev/null
+++ b/internal/simhost/serve.go
@@ -0,0 +1,176 @@
+package simhost
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+
+	"laurelring/choice"
+)
+
+// held is a command in hand with the id the wire knows it by.
+type held struct {
+	id  uint32
+	cmd *choice.Command
+}
+
+// host is one gateway with what its side of the wire needs.
+type host struct {
+	gateway   *choice.Gateway
+	instances map[uint32]*choice.Instance
+	ids       map[*choice.Instance]uint32
+	commands  map[uint32]*held
+	inHand    map[*choice.Command]*held
+	ops       []*choice.OpType
+	tenants   []*choice.Tenant
+	busyAt    int    // one more than the position of the load figure in a report, 0 for none
+	armed     int64  // when the nearest timer falls, 0 for none
+	handle    uint64 // the nearest timer's
+	out       reply
+	turn      int // the batch it last had an event in
+}
+
+type entry struct {
+	id          uint32
+	zone, state uint8
+	model, cell uint16
+	build, size float64
+	startedAt   int64
+}
+
+// server is one process: many gateways that share nothing, and the lists defined for them.
+type server struct {
+	hosts map[uint16]*host
+	lists map[uint32][]entry
+	turn  int
+	order []uint16
+}
+
+// Serve answers batches until the input ends; an error is a fault in what came in.
+func Serve(r io.Reader, w io.Writer) error {
+	in, out := bufio.NewReaderSize(r, 1<<20), bufio.NewWriterSize(w, 1<<20)
+	s := &server{hosts: map[uint16]*host{}, lists: map[uint32][]entry{}}
+	var buf bytes.Buffer
+	for {
+		now, err := frame(in, &buf)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		c := &cursor{data: buf.Bytes()}
+		if err := s.batch(c, now); err != nil {
+			return err
+		}
+		if err := s.answer(out, now); err != nil {
+			return err
+		}
+	}
+}
+
+// answer ends the batch for each gateway that had an event and writes the reply.
+func (s *server) answer(out *bufio.Writer, now int64) error {
+	var all reply
+	for _, i := range s.order {
+		h := s.hosts[i]
+		if h == nil {
+			continue
+		}
+		h.chores(now)
+		if h.out.count > 0 {
+			all.record(68)
+			all.u16(i)
+			all.data = append(all.data, h.out.data...)
+			all.count += h.out.count
+		}
+		h.out = reply{data: h.out.data[:0]}
+	}
+	var head [8]byte
+	binary.LittleEndian.PutUint32(head[:], all.count)
+	binary.LittleEndian.PutUint32(head[4:], uint32(len(all.data)))
+	if _, err := out.Write(head[:]); err != nil {
+		return err
+	}
+	if _, err := out.Write(all.data); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// chores carries out what is due and sets the timer for the next time.
+func (h *host) chores(now int64) {
+	until, due := h.gateway.Wait(now)
+	for _, cmd := range due.Ready {
+		h.obey(h.inHand[cmd], h.gateway.Where(cmd, now))
+	}
+	if due.Watch {
+		h.out.record(74)
+		h.out.u8(1)
+	}
+	for _, to := range due.Probe {
+		h.out.record(78)
+		h.out.u32(h.ids[to])
+	}
+	for _, dl := range due.Cancel {
+		if it := h.inHand[dl.Cmd]; it != nil {
+			h.out.record(71)
+			h.out.u32(it.id)
+			h.out.u8(uint8(dl.Number))
+		}
+	}
+	if due.Totals != nil {
+		text := packTotals(due.Totals)
+		for _, to := range due.Voters {
+			h.out.record(77)
+			h.out.u16(uint16(to))
+			h.out.u16(uint16(len(text)))
+			h.out.data = append(h.out.data, text...)
+		}
+	}
+	for _, v := range due.Votes {
+		h.out.record(67)
+		h.out.u16(uint16(v.Build))
+		h.out.u8(uint8(v.Stage))
+		h.out.u8(uint8(v.Verdict))
+	}
+	if until > 0 && (h.armed == 0 || now+until < h.armed) {
+		h.armed = now + until
+		h.handle++
+		h.out.record(75)
+		h.out.ms(until)
+		h.out.u64(h.handle)
+	}
+}
+
+// obey writes what was decided on a command.
+func (h *host) obey(it *held, d choice.Decision) {
+	if it == nil {
+		return
+	}
+	switch d.Act {
+	case choice.Send:
+		h.out.record(73)
+		h.out.u32(it.id)
+		h.out.u32(h.ids[d.To])
+		h.out.ms(d.For)
+	case choice.Nack:
+		h.out.record(76)
+		h.out.u32(it.id)
+		h.out.ms(d.After)
+	case choice.Fail:
+		h.out.record(66)
+		h.out.u32(it.id)
+	}
+	h.tidy(it)
+}
+
+// tidy lets go of a command that is over with nothing of it still out.
+func (h *host) tidy(it *held) {
+	if it.cmd.Ended && it.cmd.Open == 0 {
+		delete(h.commands, it.id)
+		delete(h.inHand, it.cmd)
+	}
+}
