--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,7 @@
 
 	heldLook    = 64  // held commands that are asked about at once
 	coldShare   = 0.4 // of the multiple that pushes a cold instance over; the rest is left for chance
+	trialPush   = 1.1 // of a trial instance's share of our commands that it gets at most
 	pinnedShare = 0.6 // of the cap: pinned keys may ask for this much of it before no further key is pinned
 )
 
@@ -203,15 +204,16 @@
 	return Decision{Act: Send, To: to, For: g.timeOut(cmd, now), Delivery: dl}
 }
 
-// timeOut bounds one delivery so that a further one still fits; at-most-once commands wait for the client's patience.
+// timeOut bounds one delivery so that a further one still fits. It is long: under load a short one only adds work, and
+// a silent instance is found out by overdue long before. At-most-once commands wait for the client's patience.
 func (g *Gateway) timeOut(cmd *Command, now int64) int64 {
 	left := cmd.lastAnswer - now
 	if cmd.op.kind == AtMostOnce || len(cmd.Deliveries) >= g.limits.deliveries {
 		return left
 	}
-	own := int64(min(cmd.op.mean*patience, float64(cmd.op.target)*0.8))
+	own := int64(max(float64(cmd.op.target), cmd.op.mean*patience))
 	if cmd.op.kind == Deduplicated {
-		own = min(own, cmd.op.window/2)
+		own = max(own, cmd.op.window)
 	}
 	if left-own <= int64(cmd.op.mean) {
 		return left
@@ -371,7 +373,7 @@
 			if !it.ready || g.onTrial(it.build) != trial || float64(len(it.open)) >= it.limit {
 				continue
 			}
-			if trial && !g.mayPin(cmd) {
+			if trial && !(g.mayPin(cmd) && g.headroom(it, now)) {
 				continue
 			}
 			if g.doubted(it, now) != doubtful || doubtful && (trial || cmd.op.kind == AtMostOnce && g.overdue(it, now)) {
@@ -393,6 +395,13 @@
 	return nil
 }
 
+// headroom: a trial instance gets little more than its size's share of our commands, even where the cap allows more: a
+// machine that is slow because it is overloaded would speak against its build.
+func (g *Gateway) headroom(it *Instance, now int64) bool {
+	share := float64(g.cold.taken.count(now-g.cold.span)) * it.size / max(g.list.places, it.size)
+	return float64(it.sent.count(now-g.cold.span)) < 1+trialPush*share
+}
+
 // burden is what decides between two instances: our own in flight there.
 func (g *Gateway) burden(it *Instance, cmd *Command) float64 {
 	load := float64(len(it.open)+1) * it.slow / max(it.size, 0.01)
@@ -423,12 +432,12 @@
 
 // overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back since.
 func (g *Gateway) overdue(it *Instance, now int64) bool {
-	for _, dl := range it.open {
-		if it.heardAt < dl.sentAt && float64(now-dl.sentAt) > patience*dl.Cmd.op.mean {
-			return true
-		}
-	}
-	return false
+	return len(it.open) > 0 && now >= g.overdueAt(it.open[0])
+}
+
+// overdueAt is when a delivery becomes overdue if nothing comes back from its instance.
+func (g *Gateway) overdueAt(dl *Delivery) int64 {
+	return max(dl.sentAt, dl.To.heardAt) + int64(patience*dl.Cmd.op.mean)
 }
 
 // doubted: set aside, or on probation with a delivery out, or silent.
@@ -502,7 +511,7 @@
 		}
 	case Rejected:
 		g.cut(to, now)
-	case TimedOut, Broken, Unconnected:
+	case TimedOut, Broken, Unconnected, Withdrawn:
 		g.cut(to, now)
 		if how == Unconnected || to.heardAt < dl.sentAt {
 			to.strikes++
@@ -713,7 +722,7 @@
 				c[3]++
 			}
 		}
-	case Errored, TimedOut, Broken:
+	case Errored, TimedOut, Broken, Withdrawn:
 		c[0]++
 		c[1]++
 	}
@@ -850,6 +859,9 @@
 			until = min(until, g.list.askAt)
 		}
 	}
+	for _, it := range g.instances {
+		until = min(until, g.rescue(it, now, &due))
+	}
 	j := &g.judge
 	if j.own != nil {
 		voters, voting := g.voters(j.build), false
@@ -875,6 +887,28 @@
 	return max(until-now, g.tick), due
 }
 
+// rescue calls off what lies with a silent instance, where it may be delivered again in time, so that it need not
+// wait for a time-out: this guards against machines that hang, go silent or are cut off. It tells when to look again.
+func (g *Gateway) rescue(it *Instance, now int64, due *Chores) int64 {
+	if len(it.open) == 0 || !g.limits.cancel {
+		return now + 10*s
+	}
+	if at := g.overdueAt(it.open[0]); now < at {
+		return at
+	}
+	for _, dl := range it.open {
+		cmd := dl.Cmd
+		again := cmd.op.kind == Redeliverable || cmd.op.kind == Deduplicated && cmd.op.group == GroupAll &&
+			now+g.tick < dl.sentAt+cmd.op.window
+		if again && !dl.called && !cmd.Ended && len(cmd.Deliveries) < g.limits.deliveries &&
+			now >= g.overdueAt(dl) && cmd.lastAnswer-now > int64(cmd.op.mean) {
+			dl.called = true
+			due.Cancel = append(due.Cancel, dl)
+		}
+	}
+	return now + 10*g.tick
+}
+
 // vote casts this gateway's vote when it has changed, before it lapses, and again after a lost answer.
 func (g *Gateway) vote(now int64, due *Chores) {
 	j, e := &g.judge, &g.exposure
--- a/choice/state.go
+++ b/choice/state.go
@@ -126,6 +126,7 @@
 	build  int // what the instance was when it was sent
 	zone   int
 	cell   int
+	called bool // off, as its instance is silent
 	mayRun bool // it is out, or its outcome does not prove that it never ran
 	cold   bool // the instance was in its first seconds
 }
