--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,10 +46,11 @@
 	congested    = 0.6 // of the service target: an answer slower than this lowers the limit
 	limitCut     = 0.85
 
-	heldLook    = 64  // held commands that are asked about at once
-	coldShare   = 0.4 // of the multiple that pushes a cold instance over; the rest is left for chance
-	trialPush   = 1.1 // of a trial instance's share of our commands that it gets at most
-	pinnedShare = 0.6 // of the cap: pinned keys may ask for this much of it before no further key is pinned
+	heldLook    = 64    // held commands that are asked about at once
+	coldShare   = 0.65  // of the multiple that pushes a cold instance over; the rest is left for chance
+	trialSpan   = 4 * s // over which a trial instance's share is counted
+	trialPush   = 1.1   // of a trial instance's share of our commands that it gets at most
+	pinnedShare = 0.6   // of the cap: pinned keys may ask for this much of it before no further key is pinned
 )
 
 // New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between two calls.
@@ -68,7 +69,7 @@
 	group Group, window int64) *OpType {
 	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout, importance: importance,
 		lateShare: lateShare, kind: kind, group: group, window: window,
-		mean: float64(target) / 4, dev: float64(target) / 8, level: float64(target) / 3}
+		mean: float64(target) / 4}
 	g.ops = append(g.ops, op)
 	return op
 }
@@ -126,7 +127,7 @@
 	e := &g.exposure
 	e.taken.add(now, e.window)
 	op.taken.add(now, e.window)
-	g.cold.taken.add(now, g.cold.span)
+	g.cold.taken.add(now, max(g.cold.span, trialSpan))
 	if e.oneWay && key != 0 {
 		e.seen[key]++
 		e.all++
@@ -196,7 +197,7 @@
 	cmd.Deliveries = append(cmd.Deliveries, dl)
 	cmd.Open++
 	to.open = append(to.open, dl)
-	to.sent.add(now, g.cold.span)
+	to.sent.add(now, max(g.cold.span, trialSpan))
 	if g.onTrial(to.build) {
 		w := g.trialWindow(to.build, cmd.op)
 		w.add(now, g.exposure.window)
@@ -345,23 +346,23 @@
 	if to.startedAt <= 0 || age > c.warm+c.span {
 		return true
 	}
-	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span)/float64(max(c.warm, 1))))
-	share := float64(c.taken.count(now-c.span)) * to.size / max(g.list.places, to.size)
+	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span/2)/float64(max(c.warm, 1))))
+	share := g.share(to, c.span, now)
 	if warm, sent := g.warmLoad(now); warm > 0 {
-		share = min(share, sent/warm*to.size)
+		share = min(share, sent/warm*g.power(to))
 	}
 	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, c.multiple*able*coldShare*share)
 }
 
-// warmLoad sums the sizes of warm instances and what we sent them within the cold span.
-func (g *Gateway) warmLoad(now int64) (size, sent float64) {
+// warmLoad sums the power of warm instances and what we sent them within the cold span.
+func (g *Gateway) warmLoad(now int64) (power, sent float64) {
 	for _, it := range g.instances {
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
-			size += it.size
+			power += g.power(it)
 			sent += float64(it.sent.count(now - g.cold.span))
 		}
 	}
-	return size, sent
+	return power, sent
 }
 
 // pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
@@ -398,8 +399,7 @@
 // headroom: a trial instance gets little more than its size's share of our commands, even where the cap allows more: a
 // machine that is slow because it is overloaded would speak against its build.
 func (g *Gateway) headroom(it *Instance, now int64) bool {
-	share := float64(g.cold.taken.count(now-g.cold.span)) * it.size / max(g.list.places, it.size)
-	return float64(it.sent.count(now-g.cold.span)) < 1+trialPush*share
+	return float64(it.sent.count(now-trialSpan)+1) <= max(1, trialPush*g.share(it, trialSpan, now))
 }
 
 // burden is what decides between two instances: our own in flight there.
@@ -495,10 +495,12 @@
 	case Acked:
 		to.strikes, to.asideUntil = 0, 0
 		to.failing *= 0.85
-		op.dev += 0.05 * (math.Abs(time-op.mean) - op.dev)
 		op.mean += 0.05 * (time - op.mean)
-		to.slow += 0.08 * (min(time/max(op.mean, 1), 8) - to.slow)
-		to.slow = max(0.3, min(6, to.slow))
+		pace := min(time/max(op.mean, 1), 8)
+		to.slow = max(0.3, min(6, to.slow+0.08*(pace-to.slow)))
+		if m := g.model(to.model); to.build < g.judge.build || g.judge.own == nil {
+			m.pace = max(0.3, min(6, m.pace+0.01*(pace-m.pace)))
+		}
 		if time > congested*float64(op.target) {
 			g.cut(to, now)
 		} else if float64(len(to.open)+1) > to.limit/2 {
@@ -535,6 +537,28 @@
 	return sum / n
 }
 
+// model gives what is known of a kind of machine.
+func (g *Gateway) model(number int) *Model {
+	for len(g.models) <= number {
+		m := &Model{pace: 1}
+		for _, op := range g.ops {
+			m.level = append(m.level, float64(op.target)/3)
+			m.known = append(m.known, 0)
+		}
+		g.models = append(g.models, m)
+	}
+	return g.models[number]
+}
+
+// power is what an instance can do against others: its size at the pace of its kind of machine.
+func (g *Gateway) power(it *Instance) float64 { return it.size / g.model(it.model).pace }
+
+// share is the number of this gateway's commands of the last span that fall to an instance by its power.
+func (g *Gateway) share(it *Instance, span, now int64) float64 {
+	power := g.power(it)
+	return float64(g.cold.taken.count(now-span)) * power / max(g.list.power, power)
+}
+
 func (g *Gateway) cut(to *Instance, now int64) {
 	if now-to.cutAt > 100*ms {
 		to.limit, to.cutAt = max(1, to.limit*limitCut), now
@@ -549,7 +573,7 @@
 		g.instances = append(g.instances, it)
 	}
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
-		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, 1, 0, 0, 0
+		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
 	}
 	it.ready, it.build, it.zone, it.model, it.cell = ready && present, build, zone, model, cell
 	it.size, it.startedAt = size, startedAt
@@ -569,14 +593,17 @@
 
 // ToldListEnd closes an update of the list.
 func (g *Gateway) ToldListEnd(cached bool, now int64) {
-	sum, newest := 0.0, 0
+	power, places, newest := 0.0, 0, 0
 	for _, it := range g.instances {
 		if it.ready {
-			sum += it.size
 			newest = max(newest, it.build)
+			if g.judge.own == nil || it.build < g.judge.build { // a replaced machine and its successor are one place
+				power += g.power(it)
+				places++
+			}
 		}
 	}
-	g.list.places = max(g.list.places, sum)
+	g.list.power, g.list.places = max(g.list.power, power), max(g.list.places, places)
 	if !cached {
 		g.list.tries = 0
 	}
@@ -696,14 +723,14 @@
 func (g *Gateway) witness(dl *Delivery, how Outcome, took int64) {
 	j, op := &g.judge, dl.Cmd.op
 	trial := dl.build >= j.build && j.own != nil
-	time := float64(took)
+	time, m := float64(took), g.model(dl.To.model)
 	if how == Acked && !dl.cold && !trial {
-		gain := max(0.02, 1/(1+op.known/4))
-		op.known++
-		if time > op.level {
-			op.level *= math.Exp(gain * (1 - slowShare))
+		gain := max(0.02, 1/(1+m.known[op.number]/4))
+		m.known[op.number]++
+		if time > m.level[op.number] {
+			m.level[op.number] *= math.Exp(gain * (1 - slowShare))
 		} else {
-			op.level *= math.Exp(-gain * slowShare)
+			m.level[op.number] *= math.Exp(-gain * slowShare)
 		}
 	}
 	if j.own == nil || dl.cold || dl.sentAt < j.seenAt {
@@ -711,20 +738,34 @@
 	}
 	c := j.own[g.cell(trial, op):]
 	switch how {
-	case Acked:
+	case Errored:
 		c[0]++
-		if op.known >= levelKnown {
-			c[2]++
-			if trial {
-				time /= slowMargin
-			}
-			if time > op.level {
-				c[3]++
-			}
+		c[1]++
+		return
+	case Broken:
+		// The deliveries that one crash breaks are one failure, not many.
+		c[0]++
+		if dl.sentAt > dl.To.brokeAt {
+			c[1]++
+			dl.To.brokeAt = dl.sentAt + took
 		}
-	case Errored, TimedOut, Broken, Withdrawn:
+		return
+	case Acked:
 		c[0]++
-		c[1]++
+	case TimedOut, Withdrawn:
+	default:
+		return
+	}
+	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs on
+	// our own patience, and on load, which the margin allows for.
+	if m.known[op.number] >= levelKnown {
+		c[2]++
+		if trial {
+			time /= slowMargin
+		}
+		if time > m.level[op.number] {
+			c[3]++
+		}
 	}
 }
 
@@ -826,17 +867,17 @@
 // latestStart is the latest listed start of the build's machines, and whether the list shows all of the stage's.
 func (g *Gateway) latestStart() (latest int64, all bool) {
 	e := &g.exposure
-	sizes := 0.0
+	shown := 0
 	for _, it := range g.instances {
 		if it.ready && it.build == e.build {
 			latest = max(latest, it.startedAt)
-			sizes += it.size
+			shown++
 		}
 	}
 	if e.stage >= len(g.judge.shares) {
 		return latest, true
 	}
-	return latest, sizes >= 0.8*g.judge.shares[e.stage]*g.list.places
+	return latest, float64(shown) >= math.Ceil(g.judge.shares[e.stage]*float64(g.list.places)-0.01)
 }
 
 // Wait tells how long until it is to be asked again, and the chores that are due.
--- a/choice/state.go
+++ b/choice/state.go
@@ -160,12 +160,16 @@
 	window     int64
 
 	mean  float64 // ns; smoothed time of answers
-	dev   float64 // ns; smoothed deviation from it
-	level float64 // ns; the time that a fixed share of the earlier build's answers exceeds
-	known float64 // answers the level has learned from
 	taken window  // commands taken, where exposure is counted by op type
 }
 
+// Model is one kind of machine, with what the earlier builds' answers have taught.
+type Model struct {
+	pace  float64   // smoothed time of its answers against the op types' means
+	level []float64 // ns, by op type; the time that a fixed share of its answers exceeds
+	known []float64 // answers that each level has learned from
+}
+
 // Tenant is one customer's share.
 type Tenant struct {
 	quota  float64 // commands a second within its share, over all gateways
@@ -194,6 +198,7 @@
 	strikes    int         // silent failures in a row
 	asideUntil int64
 	failing    float64 // smoothed share of errors
+	brokeAt    int64   // when it last broke off deliveries
 }
 
 // window holds the moments of events within a sliding span.
@@ -208,6 +213,7 @@
 	instances   []*Instance
 	ops         []*OpType
 	tenants     []*Tenant
+	models      []*Model
 	held        []*Command
 	scratch     []*Instance
 	limits      limits
@@ -265,7 +271,8 @@
 	due     bool
 	askAt   int64
 	tries   int
-	places  float64 // the largest sum of sizes seen ready at once
+	power   float64 // the most that was ready at once, without what is on trial
+	places  int     // the same, in instances
 }
 
 // judge is the pair test and the vote.
