--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	slowShare   = 0.2      // of the earlier build's answers lie above its learned level
 	slowMargin  = 1.35     // a trial answer is slow above this multiple of that level
 	slowPool    = 0.0      // ns; a level is not used before it has learned from enough answers
+	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
 	cellKinds   = 4        // counters in a cell: tries, failures, timed answers, slow ones
 
@@ -45,11 +46,14 @@
 	limitMost    = 200.0
 	congested    = 0.6 // of the service target: an answer slower than this lowers the limit
 	limitCut     = 0.85
+	limitGrow    = 0.15 // small, so that about one answer in ten may be congested and not one in two
 
 	heldLook    = 64    // held commands that are asked about at once
 	coldShare   = 0.65  // of the multiple that pushes a cold instance over; the rest is left for chance
+	coldMost    = 1.1   // of what a cold instance can do: more would only queue there
 	trialSpan   = 4 * s // over which a trial instance's share is counted
 	trialPush   = 1.1   // of a trial instance's share of our commands that it gets at most
+	lateWorthy  = 0.5   // of a command's importance: a late answer worth less gives way to commands that wait
 	pinnedShare = 0.6   // of the cap: pinned keys may ask for this much of it before no further key is pinned
 )
 
@@ -158,11 +162,7 @@
 	}
 	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be worth
 	// something; else the final answer goes out at once.
-	left := cmd.lastAnswer - now
-	if cmd.op.lateShare <= 0 {
-		left = cmd.target - now
-	}
-	if left <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
+	if g.bound(cmd)-now <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
 		return g.giveUp(cmd)
 	}
 	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of ours.
@@ -176,11 +176,20 @@
 	return g.launch(cmd, to, now)
 }
 
+// bound is the moment after which an answer is not worth its work: the service target where a late answer earns
+// nothing, or little while others wait for room; else the client's patience.
+func (g *Gateway) bound(cmd *Command) int64 {
+	if cmd.op.lateShare <= 0 || cmd.op.lateShare < lateWorthy && len(g.held) > 0 {
+		return cmd.target
+	}
+	return cmd.lastAnswer
+}
+
 // expected is the time a delivery of this command is expected to take. A command's first delivery is not refused for
 // a mean that trouble has inflated.
 func (g *Gateway) expected(cmd *Command) float64 {
 	if len(cmd.Deliveries) == 0 {
-		return min(cmd.op.mean, float64(cmd.op.target)/3)
+		return min(cmd.op.mean, float64(cmd.op.target)*0.6)
 	}
 	return cmd.op.mean
 }
@@ -193,7 +202,8 @@
 	g.unhold(cmd)
 	dl := &Delivery{Number: len(cmd.Deliveries), Cmd: cmd, To: to, sentAt: now, build: to.build, zone: to.zone, cell: to.cell,
 		mayRun: true,
-		cold:   to.startedAt > 0 && now-to.startedAt < warmSkip}
+		cold:   to.startedAt > 0 && now-to.startedAt < warmSkip,
+		chilly: to.startedAt > 0 && now-to.startedAt < max(warmSkip, g.cold.warm)}
 	cmd.Deliveries = append(cmd.Deliveries, dl)
 	cmd.Open++
 	to.open = append(to.open, dl)
@@ -208,7 +218,7 @@
 // timeOut bounds one delivery so that a further one still fits. It is long: under load a short one only adds work, and
 // a silent instance is found out by overdue long before. At-most-once commands wait for the client's patience.
 func (g *Gateway) timeOut(cmd *Command, now int64) int64 {
-	left := cmd.lastAnswer - now
+	left := g.bound(cmd) - now
 	if cmd.op.kind == AtMostOnce || len(cmd.Deliveries) >= g.limits.deliveries {
 		return left
 	}
@@ -262,7 +272,11 @@
 	if !nack {
 		return Decision{Act: Fail}
 	}
-	return Decision{Act: Nack, After: min(g.limits.comeBack, int64(cmd.op.mean))}
+	after := int64(cmd.op.mean)
+	if len(g.held) > 0 {
+		after = g.limits.comeBack // others wait already
+	}
+	return Decision{Act: Nack, After: min(g.limits.comeBack, after)}
 }
 
 // allowed checks the rules for one delivery, each on this gateway's own knowledge.
@@ -348,21 +362,22 @@
 	}
 	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span/2)/float64(max(c.warm, 1))))
 	share := g.share(to, c.span, now)
-	if warm, sent := g.warmLoad(now); warm > 0 {
-		share = min(share, sent/warm*g.power(to))
+	if warm, acked := g.warmLoad(now); warm > 0 {
+		share = min(share, acked/warm*g.power(to))
 	}
-	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, c.multiple*able*coldShare*share)
+	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*able*share)
 }
 
-// warmLoad sums the power of warm instances and what we sent them within the cold span.
-func (g *Gateway) warmLoad(now int64) (power, sent float64) {
+// warmLoad sums the power of warm instances and what they answered us within the cold span. Answers are bounded by
+// what the machines can do; what was sent is not, where clients retry or a machine fails fast.
+func (g *Gateway) warmLoad(now int64) (power, acked float64) {
 	for _, it := range g.instances {
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
 			power += g.power(it)
-			sent += float64(it.sent.count(now - g.cold.span))
+			acked += float64(it.acked.count(now - g.cold.span))
 		}
 	}
-	return power, sent
+	return power, acked
 }
 
 // pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
@@ -493,6 +508,7 @@
 	}
 	switch how {
 	case Acked:
+		to.acked.add(now, g.cold.span)
 		to.strikes, to.asideUntil = 0, 0
 		to.failing *= 0.85
 		op.mean += 0.05 * (time - op.mean)
@@ -504,7 +520,7 @@
 		if time > congested*float64(op.target) {
 			g.cut(to, now)
 		} else if float64(len(to.open)+1) > to.limit/2 {
-			to.limit = min(limitMost, to.limit+1/to.limit)
+			to.limit = min(limitMost, to.limit+limitGrow/to.limit)
 		}
 	case Errored:
 		to.failing += 0.15 * (1 - to.failing)
@@ -537,6 +553,17 @@
 	return sum / n
 }
 
+// trialMachines counts the ready machines of the build under judgement.
+func (g *Gateway) trialMachines() int {
+	n := 0
+	for _, it := range g.instances {
+		if it.ready && it.build >= g.judge.build {
+			n++
+		}
+	}
+	return n
+}
+
 // model gives what is known of a kind of machine.
 func (g *Gateway) model(number int) *Model {
 	for len(g.models) <= number {
@@ -628,6 +655,15 @@
 	if build != e.build || stage != e.stage || phase != e.phase {
 		j.stageAt = now - since
 		j.againAt = 0
+		if phase == OnTrial && build == e.build {
+			// Times are compared over one stage only: the earlier build's come from a calmer period otherwise, as a
+			// swap of machines makes every answer slower.
+			for i := range j.own {
+				if i%cellKinds >= 2 {
+					j.own[i] = 0
+				}
+			}
+		}
 	}
 	e.build, e.stage, e.phase, e.cap = build, stage, phase, most
 	if phase == GoingBack || phase == TakenOff {
@@ -758,10 +794,10 @@
 	}
 	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs on
 	// our own patience, and on load, which the margin allows for.
-	if m.known[op.number] >= levelKnown {
+	if m.known[op.number] >= levelKnown && !dl.chilly {
 		c[2]++
 		if trial {
-			time /= slowMargin
+			time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 		}
 		if time > m.level[op.number] {
 			c[3]++
--- a/choice/state.go
+++ b/choice/state.go
@@ -129,6 +129,7 @@
 	called bool // off, as its instance is silent
 	mayRun bool // it is out, or its outcome does not prove that it never ran
 	cold   bool // the instance was in its first seconds
+	chilly bool // it was not sure to be warm
 }
 
 // Command lives from its arrival to its final answer.
@@ -190,6 +191,7 @@
 
 	open       []*Delivery // ours, in sending order
 	sent       window      // our deliveries within the cold span
+	acked      window      // what it answered us within the cold span
 	limit      float64     // how many of ours it may hold
 	cutAt      int64       // when the limit was last cut
 	slow       float64     // smoothed time of its answers against the op types' means
