--- a/choice/choice.go
+++ b/choice/choice.go
@@ -362,22 +362,29 @@
 	}
 	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span/2)/float64(max(c.warm, 1))))
 	share := g.share(to, c.span, now)
-	if warm, acked := g.warmLoad(now); warm > 0 {
-		share = min(share, acked/warm*g.power(to))
+	if c.usual > 0 {
+		share = min(share, c.usual*g.power(to))
 	}
 	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*able*share)
 }
 
-// warmLoad sums the power of warm instances and what they answered us within the cold span. Answers are bounded by
-// what the machines can do; what was sent is not, where clients retry or a machine fails fast.
-func (g *Gateway) warmLoad(now int64) (power, acked float64) {
+// recall learns what warm machines usually answer us for their power within the cold span. Answers are bounded by what
+// machines can do; what is asked or sent is not, where clients retry or machines fail fast. While most of the fleet
+// is cold or gone, what it did before stands.
+func (g *Gateway) recall(now int64) {
+	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
 			power += g.power(it)
 			acked += float64(it.acked.count(now - g.cold.span))
 		}
 	}
-	return power, acked
+	if power > g.list.power/2 {
+		if g.cold.usual == 0 {
+			g.cold.usual = acked / power
+		}
+		g.cold.usual += 0.15 * (acked/power - g.cold.usual)
+	}
 }
 
 // pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
@@ -939,6 +946,10 @@
 	for _, it := range g.instances {
 		until = min(until, g.rescue(it, now, &due))
 	}
+	if now >= g.cold.learnAt {
+		g.cold.learnAt = now + 500*ms
+		g.recall(now)
+	}
 	j := &g.judge
 	if j.own != nil {
 		voters, voting := g.voters(j.build), false
--- a/choice/state.go
+++ b/choice/state.go
@@ -264,6 +264,8 @@
 	multiple float64
 	span     int64
 	taken    window
+	usual    float64 // what a warm machine answers us for its power within the span
+	learnAt  int64
 }
 
 // list follows the list of instances.
