--- a/choice/choice.go
+++ b/choice/choice.go
@@ -421,7 +421,18 @@
 // headroom: a trial instance gets little more than its size's share of our commands, even where the cap allows more: a
 // machine that is slow because it is overloaded would speak against its build.
 func (g *Gateway) headroom(it *Instance, now int64) bool {
-	return float64(it.sent.count(now-trialSpan)+1) <= max(1, trialPush*g.share(it, trialSpan, now))
+	if float64(it.sent.count(now-trialSpan)+1) > max(1, trialPush*g.share(it, trialSpan, now)) {
+		return false
+	}
+	// Nor a burst when it is first listed: what it holds of ours is kept to what the others hold for their power.
+	open, power := 0, 0.0
+	for _, o := range g.instances {
+		if o.ready && !g.onTrial(o.build) {
+			open += len(o.open)
+			power += g.power(o)
+		}
+	}
+	return power == 0 || float64(len(it.open)) < 1+trialPush*float64(open)/power*g.power(it)
 }
 
 // burden is what decides between two instances: our own in flight there.
