--- a/choice/choice.go
+++ b/choice/choice.go
@@ -212,24 +212,9 @@
 		w := g.trialWindow(to.build, cmd.op)
 		w.add(now, g.exposure.window)
 	}
-	return Decision{Act: Send, To: to, For: g.timeOut(cmd, now), Delivery: dl}
-}
-
-// timeOut bounds one delivery so that a further one still fits. It is long: under load a short one only adds work, and
-// a silent instance is found out by overdue long before. At-most-once commands wait for the client's patience.
-func (g *Gateway) timeOut(cmd *Command, now int64) int64 {
-	left := g.bound(cmd) - now
-	if cmd.op.kind == AtMostOnce || len(cmd.Deliveries) >= g.limits.deliveries {
-		return left
-	}
-	own := int64(max(float64(cmd.op.target), cmd.op.mean*patience))
-	if cmd.op.kind == Deduplicated {
-		own = max(own, cmd.op.window)
-	}
-	if left-own <= int64(cmd.op.mean) {
-		return left
-	}
-	return own
+	// It may stay out as long as the client waits: what we stop waiting for may go on working unseen, and a limit that
+	// does not count it lets a jam feed itself. Silent machines are found out by rescue instead.
+	return Decision{Act: Send, To: to, For: cmd.lastAnswer - now, Delivery: dl}
 }
 
 // hold keeps a command for later; Wait brings it back.
@@ -549,6 +534,9 @@
 		g.cut(to, now)
 	case TimedOut, Broken, Unconnected, Withdrawn:
 		g.cut(to, now)
+		if how == TimedOut && to.heardAt > dl.sentAt {
+			op.mean += 0.05 * (time - op.mean) // it was at work: learn from it as well as from those that made it
+		}
 		if how == Unconnected || to.heardAt < dl.sentAt {
 			to.strikes++
 			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
