--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,8 +11,6 @@
 package choice
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"sort"
 )
@@ -31,11 +29,13 @@
 	holdLevel   = 4.0      // under a clock a back vote is kept while the product stays above this
 	unlistedFor = 12 * s   // a stage whose machines the list does not show in full by then is judged by those shown
 	slowShare   = 0.2      // of the earlier build's answers lie above its learned level
-	slowMargin  = 1.35     // a trial answer is slow above this multiple of that level
+	slowMargin  = 1.25     // a trial answer is slow above this multiple of that level
 	slowPool    = 0.0      // ns; a level is not used before it has learned from enough answers
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
-	cellKinds   = 4        // counters in a cell: tries, failures, timed answers, slow ones
+	fleetMargin = 1.5      // all answers are slower than before the build above this multiple of the level then
+	blockEvery  = 1 * s    // times are compared within blocks this long
+	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
 
 	// Health.
 	patience     = 6.0      // a delivery is overdue after this many mean times
@@ -85,41 +85,6 @@
 	return t
 }
 
-// Bound tells what is permitted of deliveries.
-func (g *Gateway) Bound(deliveries int, copies, cancel, probes, advice bool, comeBack int64) {
-	g.limits = limits{deliveries: deliveries, copies: copies, cancel: cancel, probes: probes}
-	if advice {
-		g.limits.comeBack = comeBack
-	}
-}
-
-// Price tells what crossing zones and wasted work cost.
-func (g *Gateway) Price(cross, waste float64) { g.limits.cross, g.limits.waste = cross, waste }
-
-// Chill tells how instances warm up and what pushes a cold one over.
-func (g *Gateway) Chill(from float64, warm int64, multiple float64, span int64) {
-	g.cold.from, g.cold.warm, g.cold.multiple, g.cold.span = from, warm, multiple, span
-}
-
-// Follow tells whether the list must be asked for its changes.
-func (g *Gateway) Follow(mustAsk bool, within int64) {
-	g.list.mustAsk, g.list.within, g.list.due = mustAsk, within, mustAsk
-}
-
-// Expose tells how deliveries to a build on trial are bounded.
-func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool, caps []float64) {
-	e := &g.exposure
-	e.window, e.allowance, e.byOp, e.closed, e.oneWay, e.caps = window, allowance, byOp, closed, oneWay, caps
-}
-
-// Judge tells how votes move builds.
-func (g *Gateway) Judge(control Control, on, back int, shares []float64, bake, life, answerIn int64, rate float64,
-	messages bool) {
-	j := &g.judge
-	j.control, j.on, j.back, j.shares, j.bake, j.life = control, on, back, shares, bake, life
-	j.answerIn, j.rate, j.messages = answerIn, rate, messages && g.peers > 1
-}
-
 // Take books a command that came with the time its client still waits.
 func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left int64, repeat bool, now int64) *Command {
 	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
@@ -163,7 +128,7 @@
 	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be worth
 	// something; else the final answer goes out at once.
 	if g.bound(cmd)-now <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
-		return g.giveUp(cmd)
+		return g.giveUp(cmd, now)
 	}
 	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of ours.
 	to := g.pick(cmd, true, now)
@@ -244,9 +209,10 @@
 
 // giveUp gives the final answer. A nack says that trying again is harmless: only where no delivery can have run, or
 // where a repeat does no harm.
-func (g *Gateway) giveUp(cmd *Command) Decision {
+func (g *Gateway) giveUp(cmd *Command, now int64) Decision {
 	g.unhold(cmd)
 	cmd.Ended = true
+	g.judge.turned.add(now, trialSpan)
 	nack := cmd.op.kind == Redeliverable || cmd.op.kind == Deduplicated && cmd.op.group == GroupAll
 	if !nack {
 		nack = true
@@ -496,7 +462,7 @@
 		return Decision{Act: Nothing}
 	}
 	if cmd.op.kind != Redeliverable && dl.mayRun && cmd.op.kind == AtMostOnce {
-		return g.giveUp(cmd)
+		return g.giveUp(cmd, now)
 	}
 	return g.Where(cmd, now)
 }
@@ -661,14 +627,8 @@
 	if build != e.build || stage != e.stage || phase != e.phase {
 		j.stageAt = now - since
 		j.againAt = 0
-		if phase == OnTrial && build == e.build {
-			// Times are compared over one stage only: the earlier build's come from a calmer period otherwise, as a
-			// swap of machines makes every answer slower.
-			for i := range j.own {
-				if i%cellKinds >= 2 {
-					j.own[i] = 0
-				}
-			}
+		if n := len(j.own); n > 0 && phase == OnTrial {
+			j.own[n-2], j.own[n-1] = 0, 0 // the fleet against before: what was clean at a smaller stage says little
 		}
 	}
 	e.build, e.stage, e.phase, e.cap = build, stage, phase, most
@@ -749,16 +709,24 @@
 	}
 	j.build, j.seenAt, j.against = build, now, false
 	j.own = make([]uint32, g.cells())
+	j.block = make([][2]uint32, 2*len(g.ops))
+	for _, m := range g.models {
+		m.before = append([]float64(nil), m.level...)
+	}
 	j.vote, j.againAt = Vote{}, 0
 }
 
-func (g *Gateway) cells() int { return 2 * len(g.ops) * cellKinds }
+func (g *Gateway) cells() int { return 2*len(g.ops)*cellKinds + 2 }
 
 func (g *Gateway) cell(trial bool, op *OpType) int {
+	return (g.side(trial)*len(g.ops) + op.number) * cellKinds
+}
+
+func (g *Gateway) side(trial bool) int {
 	if trial {
-		return op.number * cellKinds
+		return 0
 	}
-	return (len(g.ops) + op.number) * cellKinds
+	return 1
 }
 
 // witness counts an outcome as evidence for or against its build.
@@ -766,8 +734,8 @@
 	j, op := &g.judge, dl.Cmd.op
 	trial := dl.build >= j.build && j.own != nil
 	time, m := float64(took), g.model(dl.To.model)
-	if how == Acked && !dl.cold && !trial {
-		gain := max(0.02, 1/(1+m.known[op.number]/4))
+	if how == Acked && !dl.cold && (!trial || g.exposure.phase == Released) {
+		gain := max(0.01, 1/(1+m.known[op.number]/4))
 		m.known[op.number]++
 		if time > m.level[op.number] {
 			m.level[op.number] *= math.Exp(gain * (1 - slowShare))
@@ -800,17 +768,60 @@
 	}
 	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs on
 	// our own patience, and on load, which the margin allows for.
-	if m.known[op.number] >= levelKnown && !dl.chilly {
-		c[2]++
-		if trial {
-			time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
+	if m.known[op.number] < levelKnown || dl.chilly {
+		return
+	}
+	if j.calm && m.before != nil {
+		fleet := j.own[len(j.own)-2:]
+		fleet[0]++
+		if time > m.before[op.number]*fleetMargin {
+			fleet[1]++
 		}
-		if time > m.level[op.number] {
-			c[3]++
+	}
+	if trial {
+		time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
+	}
+	b := &j.block[g.side(trial)*len(g.ops)+op.number]
+	b[0]++
+	if time > m.level[op.number] {
+		b[1]++
+	}
+}
+
+// fold closes a block of times: within it both builds met the same load, so what one was to expect is its share of the
+// slow answers of both. This guards against a baseline from a calmer or busier period.
+func (g *Gateway) fold() {
+	j := &g.judge
+	for i, op := range g.ops {
+		t, b := &j.block[i], &j.block[len(g.ops)+i]
+		if t[0] > 0 && b[0] > 0 {
+			ct, cb := j.own[g.cell(true, op):], j.own[g.cell(false, op):]
+			all := float64(t[1] + b[1])
+			expect := uint32(1000*all*float64(t[0])/float64(t[0]+b[0]) + 0.5)
+			ct[2], ct[3] = ct[2]+t[1], ct[3]+expect
+			cb[2], cb[3] = cb[2]+b[1], cb[3]+uint32(1000*all)-min(expect, uint32(1000*all))
 		}
+		*t, *b = [2]uint32{}, [2]uint32{}
 	}
 }
 
+// compare tells whether now can be held against the time before the build: no machine missing or cold, and not more
+// commands than then, as far as they are not tries again after our own refusals. A crash, a swap or a burst slows all
+// answers too and says nothing of the build.
+func (g *Gateway) compare(now int64) bool {
+	n := 0
+	for _, it := range g.instances {
+		if it.ready {
+			n++
+			if it.startedAt > 0 && now-it.startedAt < g.cold.warm {
+				return false
+			}
+		}
+	}
+	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
+	return n >= g.list.places && float64(fresh) <= 1.2*g.judge.usual+2
+}
+
 // product is one build's factor of the paper's pair test, in logarithms:
 // M = phi^phi / (phi+L)^(phi+n) * Gamma(phi+n) / Gamma(phi) * e^L.
 func product(n, l float64) float64 {
@@ -820,13 +831,8 @@
 }
 
 // pair is the test's product over both builds, in logarithms; it speaks against the trial only where the trial fails
-// above its L. No attempts on a side give 1.
-func pair(trialTries, trialFails, baseTries, baseFails float64) float64 {
-	if trialTries == 0 || baseTries == 0 {
-		return 0
-	}
-	rate := (trialFails + baseFails) / (trialTries + baseTries)
-	lt, lb := trialTries*rate, baseTries*rate
+// above its L.
+func pair(trialFails, lt, baseFails, lb float64) float64 {
 	e := product(trialFails, lt) + product(baseFails, lb)
 	if trialFails <= lt {
 		return min(e, 0)
@@ -834,6 +840,15 @@
 	return e
 }
 
+// attempts gives the pair's product where L is attempts times the joint failure rate. No attempts give 1.
+func attempts(trialTries, trialFails, baseTries, baseFails float64) float64 {
+	if trialTries == 0 || baseTries == 0 {
+		return 0
+	}
+	rate := (trialFails + baseFails) / (trialTries + baseTries)
+	return pair(trialFails, trialTries*rate, baseFails, baseTries*rate)
+}
+
 // evidence pools the totals of all gateways on the build and averages the products: an average of such products keeps
 // the level alpha, so a look at each op type and at slow answers is paid for by the average.
 func (g *Gateway) evidence() float64 {
@@ -847,15 +862,18 @@
 			}
 		}
 	}
-	var tt, tf, bt, bf float64
+	var tt, tf, bt, bf, ts, tl, bs, bl float64
 	var logs []float64
 	for _, op := range g.ops {
 		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
 		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
-		logs = append(logs, pair(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])),
-			pair(float64(t[2]), float64(t[3]), float64(b[2]), float64(b[3])))
+		ts, tl, bs, bl = ts+float64(t[2]), tl+float64(t[3])/1000, bs+float64(b[2]), bl+float64(b[3])/1000
+		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])))
 	}
-	logs = append(logs, pair(tt, tf, bt, bf))
+	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
+	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
+	logs = append(logs, attempts(tt, tf, bt, bf), pair(ts, tl, bs, bl),
+		attempts(since, slow, since, since*slowShare))
 	top, mean := logs[0], 0.0
 	for _, l := range logs {
 		top = max(top, l)
@@ -945,16 +963,23 @@
 	for _, it := range g.instances {
 		until = min(until, g.rescue(it, now, &due))
 	}
+	j := &g.judge
 	if now >= g.cold.learnAt {
 		g.cold.learnAt = now + 500*ms
 		g.recall(now)
+		if j.calm = j.own != nil && g.compare(now); j.own == nil {
+			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
+		}
 	}
-	j := &g.judge
 	if j.own != nil {
 		voters, voting := g.voters(j.build), false
 		for _, v := range voters {
 			voting = voting || v == g.rank
 		}
+		if now >= j.foldAt {
+			j.foldAt = now + blockEvery
+			g.fold()
+		}
 		if now >= j.totalsAt {
 			j.totalsAt = now + poolEvery
 			if j.messages {
@@ -1018,26 +1043,3 @@
 	g.drawn++
 	return int(mix(g.seed, g.drawn) >> 20 % uint64(n))
 }
-
-func mix(a, b uint64) uint64 {
-	var text [16]byte
-	binary.LittleEndian.PutUint64(text[:8], b)
-	binary.LittleEndian.PutUint64(text[8:], a)
-	h := fnv.New64a()
-	h.Write(text[:])
-	return h.Sum64()
-}
-
-// add books an event and forgets those older than the span, with some to spare.
-func (w *window) add(now, span int64) {
-	cut := 0
-	for cut < len(w.at) && w.at[cut] < now-2*span {
-		cut++
-	}
-	w.at = append(w.at[cut:], now)
-}
-
-// count tells how many events came after a moment.
-func (w *window) count(after int64) int {
-	return len(w.at) - sort.Search(len(w.at), func(i int) bool { return w.at[i] > after })
-}
--- a/choice/state.go
+++ b/choice/state.go
@@ -166,9 +166,10 @@
 
 // Model is one kind of machine, with what the earlier builds' answers have taught.
 type Model struct {
-	pace  float64   // smoothed time of its answers against the op types' means
-	level []float64 // ns, by op type; the time that a fixed share of its answers exceeds
-	known []float64 // answers that each level has learned from
+	pace   float64   // smoothed time of its answers against the op types' means
+	level  []float64 // ns, by op type; the time that a fixed share of its answers exceeds
+	known  []float64 // answers that each level has learned from
+	before []float64 // the levels when the build under judgement was first heard of
 }
 
 // Tenant is one customer's share.
@@ -292,12 +293,17 @@
 
 	build    int // the build under judgement, 0 for none
 	own      []uint32
-	heard    []*Totals // each sender's latest, by number
-	seenAt   int64     // when the list first showed the build
-	stageAt  int64     // when the present stage was first heard of
-	totalsAt int64     // when totals are next due
-	against  bool      // the product has reached its level
-	vote     Vote      // the last one cast
+	block    [][2]uint32 // times judged in the present block and slow ones: trial by op type, then earlier builds
+	foldAt   int64       // when the block closes
+	calm     bool        // now can be held against the time before the build
+	turned   window      // commands that we gave up
+	usual    float64     // our commands within a trial span before the build
+	heard    []*Totals   // each sender's latest, by number
+	seenAt   int64       // when the list first showed the build
+	stageAt  int64       // when the present stage was first heard of
+	totalsAt int64       // when totals are next due
+	against  bool        // the product has reached its level
+	vote     Vote        // the last one cast
 	votedAt  int64
 	waiting  bool // for its answer
 	againAt  int64
