--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,8 @@
 	slowPool    = 0.0      // ns; a level is not used before it has learned from enough answers
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
-	fleetMargin = 1.5      // all answers are slower than before the build above this multiple of the level then
+	fleetRoom   = 0.8      // of the machines busy before the build: above that, times hang on little changes of load
+	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	blockEvery  = 1 * s    // times are compared within blocks this long
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
 
@@ -805,6 +806,17 @@
 	}
 }
 
+// meanBusy is the machines' own figure, 0 where they report none.
+func (g *Gateway) meanBusy() float64 {
+	sum, n := 0.0, 0.0
+	for _, it := range g.instances {
+		if it.ready {
+			sum, n = sum+it.busy, n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
 // compare tells whether now can be held against the time before the build: no machine missing or cold, and not more
 // commands than then, as far as they are not tries again after our own refusals. A crash, a swap or a burst slows all
 // answers too and says nothing of the build.
@@ -819,7 +831,7 @@
 		}
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
-	return n >= g.list.places && float64(fresh) <= 1.2*g.judge.usual+2
+	return n >= g.list.places && g.judge.busy < fleetRoom && float64(fresh) <= 1.2*g.judge.usual+2
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
@@ -969,6 +981,7 @@
 		g.recall(now)
 		if j.calm = j.own != nil && g.compare(now); j.own == nil {
 			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
+			j.busy += 0.3 * (g.meanBusy() - j.busy)
 		}
 	}
 	if j.own != nil {
--- a/choice/state.go
+++ b/choice/state.go
@@ -297,6 +297,7 @@
 	foldAt   int64       // when the block closes
 	calm     bool        // now can be held against the time before the build
 	turned   window      // commands that we gave up
+	busy     float64     // the machines' own figure before the build
 	usual    float64     // our commands within a trial span before the build
 	heard    []*Totals   // each sender's latest, by number
 	seenAt   int64       // when the list first showed the build
