--- a/choice/choice.go
+++ b/choice/choice.go
@@ -90,7 +90,7 @@
 func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left int64, repeat bool, now int64) *Command {
 	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
 	cmd.target = min(now+op.target+int64(op.stretch*float64(work)), cmd.lastAnswer)
-	cmd.weight = op.importance / max(op.mean, 1)
+	cmd.weight = op.importance / float64(max(op.target, ms))
 	if tenant != nil && g.overShare(tenant, now) {
 		cmd.weight *= 0.01 // what lies beyond a tenant's share is worth little: it comes last
 	}
@@ -155,7 +155,7 @@
 // a mean that trouble has inflated.
 func (g *Gateway) expected(cmd *Command) float64 {
 	if len(cmd.Deliveries) == 0 {
-		return min(cmd.op.mean, float64(cmd.op.target)*0.6)
+		return min(cmd.op.mean*1.3, float64(cmd.op.target)*0.6)
 	}
 	return cmd.op.mean
 }
@@ -183,11 +183,12 @@
 	return Decision{Act: Send, To: to, For: cmd.lastAnswer - now, Delivery: dl}
 }
 
-// hold keeps a command for later; Wait brings it back.
+// hold keeps a command for later; Wait brings it back: the most important first, and of those the newest, since in a
+// jam the oldest would all be served just too late.
 func (g *Gateway) hold(cmd *Command) Decision {
 	if !cmd.held {
 		cmd.held = true
-		at := sort.Search(len(g.held), func(i int) bool { return g.held[i].weight < cmd.weight })
+		at := sort.Search(len(g.held), func(i int) bool { return g.held[i].weight <= cmd.weight })
 		g.held = append(g.held, nil)
 		copy(g.held[at+1:], g.held[at:])
 		g.held[at] = cmd
