--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	levelKnown  = 40       // answers that are enough
 	fleetRoom   = 0.8      // of the machines busy before the build: above that, times hang on little changes of load
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
-	blockEvery  = 1 * s    // times are compared within blocks this long
+	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
 
 	// Health.
@@ -495,8 +495,9 @@
 		}
 	case Errored:
 		to.failing += 0.15 * (1 - to.failing)
-		if to.failing > failingAside+g.failingOf(to) {
-			to.asideUntil = now + s
+		if others, _, _ := g.peersOf(to); to.failing > failingAside+others {
+			to.strikes++ // on probation next: one delivery at a time
+			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
 		}
 	case Rejected:
 		g.cut(to, now)
@@ -512,21 +513,6 @@
 	}
 }
 
-// failingOf is the mean share of errors of the other ready instances of an instance's build: what they all suffer
-// is the build's and no ground to set one aside.
-func (g *Gateway) failingOf(to *Instance) float64 {
-	sum, n := 0.0, 0.0
-	for _, it := range g.instances {
-		if it != to && it.ready && it.build == to.build {
-			sum, n = sum+it.failing, n+1
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
-}
-
 // trialMachines counts the ready machines of the build under judgement.
 func (g *Gateway) trialMachines() int {
 	n := 0
@@ -573,6 +559,9 @@
 		it.listed = true
 		g.instances = append(g.instances, it)
 	}
+	if it.block == nil || build != it.build {
+		it.block = make([][cellKinds]uint32, len(g.ops))
+	}
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
 		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
 	}
@@ -711,7 +700,6 @@
 	}
 	j.build, j.seenAt, j.against = build, now, false
 	j.own = make([]uint32, g.cells())
-	j.block = make([][2]uint32, 2*len(g.ops))
 	for _, m := range g.models {
 		m.before = append([]float64(nil), m.level...)
 	}
@@ -745,10 +733,10 @@
 			m.level[op.number] *= math.Exp(-gain * slowShare)
 		}
 	}
-	if j.own == nil || dl.cold || dl.sentAt < j.seenAt {
+	if j.own == nil || dl.cold || dl.sentAt < j.seenAt || dl.build != dl.To.build {
 		return
 	}
-	c := j.own[g.cell(trial, op):]
+	c := &dl.To.block[op.number]
 	switch how {
 	case Errored:
 		c[0]++
@@ -783,30 +771,63 @@
 	if trial {
 		time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 	}
-	b := &j.block[g.side(trial)*len(g.ops)+op.number]
-	b[0]++
+	c[2]++
 	if time > m.level[op.number] {
-		b[1]++
+		c[3]++
 	}
 }
 
-// fold closes a block of times: within it both builds met the same load, so what one was to expect is its share of the
-// slow answers of both. This guards against a baseline from a calmer or busier period.
+// fold closes a block of evidence. A machine that does far worse than the others of its build speaks of itself, not of
+// the build: its block is left out (guards against a crash, hang, slowness or fast errors of single trial machines; it
+// may delay the case against a build that ruins some machines before others). Times: within a block both builds met the
+// same load, so what one was to expect is its share of the slow answers of both (guards against a baseline from a
+// calmer or busier period).
 func (g *Gateway) fold() {
 	j := &g.judge
-	for i, op := range g.ops {
-		t, b := &j.block[i], &j.block[len(g.ops)+i]
-		if t[0] > 0 && b[0] > 0 {
-			ct, cb := j.own[g.cell(true, op):], j.own[g.cell(false, op):]
-			all := float64(t[1] + b[1])
-			expect := uint32(1000*all*float64(t[0])/float64(t[0]+b[0]) + 0.5)
-			ct[2], ct[3] = ct[2]+t[1], ct[3]+expect
-			cb[2], cb[3] = cb[2]+b[1], cb[3]+uint32(1000*all)-min(expect, uint32(1000*all))
+	for _, op := range g.ops {
+		var sums [2][cellKinds]uint32
+		for _, it := range g.instances {
+			for k, n := range it.block[op.number] {
+				if !g.odd(it) {
+					sums[g.side(it.build >= j.build)][k] += n
+				}
+			}
+			it.block[op.number] = [cellKinds]uint32{}
+		}
+		t, b := &sums[0], &sums[1]
+		ct, cb := j.own[g.cell(true, op):], j.own[g.cell(false, op):]
+		ct[0], ct[1], cb[0], cb[1] = ct[0]+t[0], ct[1]+t[1], cb[0]+b[0], cb[1]+b[1]
+		if t[2] > 0 && b[2] > 0 {
+			all := 1000 * (t[3] + b[3])
+			expect := uint32(float64(all) * float64(t[2]) / float64(t[2]+b[2]))
+			ct[2], ct[3], cb[2], cb[3] = ct[2]+t[3], ct[3]+expect, cb[2]+b[3], cb[3]+all-expect
 		}
-		*t, *b = [2]uint32{}, [2]uint32{}
 	}
 }
 
+// odd tells a machine that does far worse than most others of its build; of less than three none is.
+func (g *Gateway) odd(to *Instance) bool {
+	failing, slow, n := g.peersOf(to)
+	return n >= 2 && (to.failing > failingAside+failing || to.slow > oddSlow*slow || to.strikes > 0)
+}
+
+// peersOf gives the median share of errors and the median time of the other ready machines of an instance's build: what
+// most of them suffer is the build's, and no ground to set one aside.
+func (g *Gateway) peersOf(to *Instance) (failing, slow float64, n int) {
+	var fails, slows []float64
+	for _, it := range g.instances {
+		if it != to && it.ready && it.build == to.build {
+			fails, slows = append(fails, it.failing), append(slows, it.slow)
+		}
+	}
+	if n = len(fails); n == 0 {
+		return 1, 1, 0
+	}
+	sort.Float64s(fails)
+	sort.Float64s(slows)
+	return fails[n/2], slows[n/2], n
+}
+
 // meanBusy is the machines' own figure, 0 where they report none.
 func (g *Gateway) meanBusy() float64 {
 	sum, n := 0.0, 0.0
@@ -990,11 +1011,8 @@
 		for _, v := range voters {
 			voting = voting || v == g.rank
 		}
-		if now >= j.foldAt {
-			j.foldAt = now + blockEvery
-			g.fold()
-		}
 		if now >= j.totalsAt {
+			g.fold()
 			j.totalsAt = now + poolEvery
 			if j.messages {
 				due.Totals = &Totals{From: g.rank, At: now, Build: j.build, Cells: append([]uint32(nil), j.own...)}
--- a/choice/state.go
+++ b/choice/state.go
@@ -200,8 +200,9 @@
 	heardAt    int64       // its last sign of life
 	strikes    int         // silent failures in a row
 	asideUntil int64
-	failing    float64 // smoothed share of errors
-	brokeAt    int64   // when it last broke off deliveries
+	failing    float64             // smoothed share of errors
+	block      [][cellKinds]uint32 // evidence since the last totals, by op type: tries, failures, times, slow ones
+	brokeAt    int64               // when it last broke off deliveries
 }
 
 // window holds the moments of events within a sliding span.
@@ -293,18 +294,16 @@
 
 	build    int // the build under judgement, 0 for none
 	own      []uint32
-	block    [][2]uint32 // times judged in the present block and slow ones: trial by op type, then earlier builds
-	foldAt   int64       // when the block closes
-	calm     bool        // now can be held against the time before the build
-	turned   window      // commands that we gave up
-	busy     float64     // the machines' own figure before the build
-	usual    float64     // our commands within a trial span before the build
-	heard    []*Totals   // each sender's latest, by number
-	seenAt   int64       // when the list first showed the build
-	stageAt  int64       // when the present stage was first heard of
-	totalsAt int64       // when totals are next due
-	against  bool        // the product has reached its level
-	vote     Vote        // the last one cast
+	calm     bool      // now can be held against the time before the build
+	turned   window    // commands that we gave up
+	busy     float64   // the machines' own figure before the build
+	usual    float64   // our commands within a trial span before the build
+	heard    []*Totals // each sender's latest, by number
+	seenAt   int64     // when the list first showed the build
+	stageAt  int64     // when the present stage was first heard of
+	totalsAt int64     // when totals are next due
+	against  bool      // the product has reached its level
+	vote     Vote      // the last one cast
 	votedAt  int64
 	waiting  bool // for its answer
 	againAt  int64
