--- a/choice/choice.go
+++ b/choice/choice.go
@@ -341,34 +341,40 @@
 }
 
 // pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
-// in doubt are drawn only where no other is left; at-most-once commands never go where a delivery is overdue.
+// in doubt are drawn only where no other may serve at all: with others merely full, a command waits, as a machine that
+// fails fast is never full and would draw everything. At-most-once commands never go where a delivery is overdue.
 func (g *Gateway) pick(cmd *Command, trial bool, now int64) *Instance {
-	for _, doubtful := range []bool{false, true} {
-		g.scratch = g.scratch[:0]
-		for _, it := range g.instances {
-			if !it.ready || g.onTrial(it.build) != trial || float64(len(it.open)) >= it.limit {
-				continue
-			}
-			if trial && !(g.mayPin(cmd) && g.headroom(it, now)) {
-				continue
-			}
-			if g.doubted(it, now) != doubtful || doubtful && (trial || cmd.op.kind == AtMostOnce && g.overdue(it, now)) {
-				continue
-			}
-			if g.allowed(cmd, it, now) {
-				g.scratch = append(g.scratch, it)
-			}
+	var sound, doubtful []*Instance
+	full := false
+	for _, it := range g.instances {
+		if !it.ready || g.onTrial(it.build) != trial || trial && !(g.mayPin(cmd) && g.headroom(it, now)) ||
+			!g.allowed(cmd, it, now) {
+			continue
 		}
-		if n := len(g.scratch); n > 0 {
-			first := g.draw(n)
-			a, b := g.scratch[first], g.scratch[(first+1+g.draw(max(n-1, 1)))%n]
-			if g.burden(b, cmd) < g.burden(a, cmd) {
-				return b
+		room := float64(len(it.open)) < it.limit
+		switch {
+		case !g.doubted(it, now) && !(it.strikes > 0 && cmd.op.kind == AtMostOnce):
+			full = true
+			if room {
+				sound = append(sound, it)
 			}
-			return a
+		case room && !trial && !(cmd.op.kind == AtMostOnce && g.overdue(it, now)):
+			doubtful = append(doubtful, it)
 		}
 	}
-	return nil
+	if len(sound) == 0 && !full {
+		sound = doubtful
+	}
+	n := len(sound)
+	if n == 0 {
+		return nil
+	}
+	first := g.draw(n)
+	a, b := sound[first], sound[(first+1+g.draw(max(n-1, 1)))%n]
+	if g.burden(b, cmd) < g.burden(a, cmd) {
+		return b
+	}
+	return a
 }
 
 // headroom: a trial instance gets little more than its size's share of our commands, even where the cap allows more: a
@@ -480,8 +486,10 @@
 	switch how {
 	case Acked:
 		to.acked.add(now, g.cold.span)
-		to.strikes, to.asideUntil = 0, 0
 		to.failing *= 0.85
+		if to.failing < failingAside { // a machine that fails most and answers some stays on probation
+			to.strikes, to.asideUntil = 0, 0
+		}
 		op.mean += 0.05 * (time - op.mean)
 		pace := min(time/max(op.mean, 1), 8)
 		to.slow = max(0.3, min(6, to.slow+0.08*(pace-to.slow)))
--- a/choice/state.go
+++ b/choice/state.go
@@ -219,7 +219,6 @@
 	tenants     []*Tenant
 	models      []*Model
 	held        []*Command
-	scratch     []*Instance
 	limits      limits
 	exposure    exposure
 	cold        cold
