--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,171 @@
+package choice
+
+import (
+	"math"
+	"testing"
+)
+
+// M(n, L) with phi 1 is n! e^L / (1+L)^(n+1): worked out by hand.
+func TestProduct(t *testing.T) {
+	for _, c := range []struct{ n, l, want float64 }{
+		{0, 0, 1},
+		{0, 1, math.E / 2},
+		{1, 1, math.E / 4},
+		{3, 1, 6 * math.E / 16},
+		{4, 0, 24},
+		{2, 3, 2 * math.Exp(3) / 64},
+	} {
+		if got := math.Exp(product(c.n, c.l)); math.Abs(got-c.want) > 1e-9*c.want {
+			t.Errorf("M(%v, %v) = %v, want %v", c.n, c.l, got, c.want)
+		}
+	}
+	if e := attempts(50, 10, 0, 0); e != 0 {
+		t.Errorf("no attempts on one side give e^%v, want 1", e)
+	}
+	if e := attempts(50, 0, 50, 10); e > 0 {
+		t.Errorf("a trial that fails less than its L speaks against it: %v", e)
+	}
+	if e := attempts(60, 12, 600, 3); e < math.Log(1/alpha) {
+		t.Errorf("twelve of sixty against three of six hundred give only e^%v", e)
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	w := newWorld(1, ControlAny)
+	w.list(3, 0, 1)
+	w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+	// An at-most-once command that may have run fails; one that proves unrun goes out again, and is nacked at the end.
+	once := w.take(2, 0)
+	w.end(once.Deliveries[0], Broken)
+	if !once.Ended || w.last.Act != Fail {
+		t.Fatalf("a broken at-most-once delivery gave %v, want a failure", w.last.Act)
+	}
+	again := w.take(2, 0)
+	w.end(again.Deliveries[0], Rejected)
+	if again.Ended || w.last.Act != Send {
+		t.Fatalf("an at-most-once delivery that never ran gave %v, want another", w.last.Act)
+	}
+	// A further delivery only if the time left exceeds the time it is expected to take.
+	late := w.take(0, 0)
+	w.now = late.lastAnswer - 20*ms
+	w.end(late.Deliveries[0], Errored)
+	if !late.Ended || w.last.Act != Nack || w.last.After <= 0 {
+		t.Fatalf("a command without time gave %v after %v, want a nack with a time to come back", w.last.Act, w.last.After)
+	}
+}
+
+// Incident i431a84: machines that failed fast drew everything once the sound ones were full.
+func TestFastFailuresDrawNothing(t *testing.T) {
+	w := newWorld(2, ControlAny)
+	w.list(4, 0, 1)
+	w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+	bad, hits := w.instances[0], 0
+	for i := 0; i < 3000; i++ {
+		w.now += 5 * ms
+		cmd := w.take(0, 0)
+		for len(cmd.Deliveries) > 0 && cmd.Open > 0 {
+			dl := cmd.Deliveries[len(cmd.Deliveries)-1]
+			if dl.To == bad {
+				hits++
+				w.end(dl, Errored)
+			} else if dl.took(w) {
+				w.end(dl, Acked)
+			} else {
+				break
+			}
+		}
+		w.finish(100 * ms)
+	}
+	if hits > 150 {
+		t.Errorf("a machine that fails all got %d deliveries in 15 s", hits)
+	}
+}
+
+// Incident rough-1 of rolls-east: a trial machine listed late got its whole unused budget at once.
+func TestNoBurstOnTrial(t *testing.T) {
+	w := newWorld(3, ControlShare)
+	w.list(8, 0, 1)
+	w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+	for i := 0; i < 1000; i++ {
+		w.now += 4 * ms
+		w.take(0, 0)
+		w.finish(40 * ms)
+	}
+	w.g.ToldStage(2, 1, OnTrial, 0.5, 0, w.now)
+	w.list(1, w.now-10*s, 2)
+	trial := w.instances[8]
+	for i := 0; i < 10; i++ {
+		w.take(0, 0)
+	}
+	if len(trial.open) == 0 || len(trial.open) > 4 {
+		t.Errorf("a freshly listed trial machine holds %d of ours, want a few", len(trial.open))
+	}
+}
+
+// A crash, a hang or fast errors of one trial machine among several are its own; all of them failing is the build's.
+func TestOddMachineIsLeftOut(t *testing.T) {
+	for _, ill := range []int{1, 4} {
+		w := newWorld(4, ControlAny)
+		w.list(8, 0, 1)
+		w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+		w.run(4*s, 0)
+		w.g.ToldStage(2, 3, OnTrial, 1, 0, w.now)
+		w.list(4, w.now-10*s, 2)
+		w.run(4*s, ill)
+		if back := w.g.opinion(w.now) == VoteBack; back != (ill == 4) {
+			t.Errorf("%d of four trial machines fail: back is %v", ill, back)
+		}
+	}
+}
+
+// 'On' waits for 3 s after the latest listed start and for all of the stage's machines; votes are renewed.
+func TestOnIsPatient(t *testing.T) {
+	w := newWorld(5, ControlAny)
+	w.g.peers = 1
+	w.list(10, 0, 1)
+	w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+	w.run(2*s, 0)
+	w.g.ToldStage(2, 0, OnTrial, 0.2, 0, w.now)
+	start := w.now + s
+	var votes []int64
+	listed := false
+	for i := 0; i < 2000; i++ {
+		w.now += 5 * ms
+		if !listed && w.now > start+s {
+			w.list(2, start, 2)
+			listed = true
+		}
+		for _, v := range w.wait().Votes {
+			if v.Verdict != VoteOn {
+				t.Fatalf("voted %v", v)
+			}
+			votes = append(votes, w.now)
+			w.g.ToldVote(Acked, w.now)
+		}
+	}
+	if len(votes) < 2 || votes[0] < start+onWait || votes[0] > start+onWait+s {
+		t.Errorf("'on' came at %v after a start at %v", votes, start)
+	}
+}
+
+// A pinned key goes to no earlier build, until the new one is sent back.
+func TestKeysMoveForward(t *testing.T) {
+	w := newWorld(6, ControlAny)
+	w.g.exposure.oneWay = true
+	w.list(4, 0, 1)
+	w.list(1, w.now-10*s, 2)
+	w.g.ToldStage(2, 0, OnTrial, 0.5, 0, w.now)
+	cmd := w.take(0, 77)
+	if len(cmd.Deliveries) != 1 || cmd.Deliveries[0].To.build != 2 {
+		t.Fatal("the trial did not come first")
+	}
+	w.end(cmd.Deliveries[0], Acked)
+	w.instances[4].ready = false
+	if next := w.take(0, 77); len(next.Deliveries) != 0 {
+		t.Error("a key that the new build has answered went to an earlier one")
+	}
+	w.g.ToldStage(2, 0, GoingBack, 0, 0, w.now)
+	if next := w.take(0, 77); len(next.Deliveries) != 1 {
+		t.Error("a key stayed pinned to a build that goes back")
+	}
+}
--- /dev/null
+++ b/choice/world_test.go
@@ -0,0 +1,192 @@
+package choice
+
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+// world drives one gateway and keeps the rules' own books beside it, from what is asked and answered alone.
+type world struct {
+	g         *Gateway
+	now       int64
+	instances []*Instance
+	ops       []*OpType
+	out       []*Delivery
+	cmds      []*Command
+	last      Decision
+	taken     []int64
+	trial     map[int][]int64
+	cold      map[*Instance][]int64
+	broken    string
+	counter   uint64
+	seed      uint64
+	drained   map[*Instance]bool
+	most      float64 // the highest cap told lately
+}
+
+const (
+	testWindow = 2 * s
+	testFree   = 2.0
+	testSpan   = 1500 * ms
+)
+
+func newWorld(seed uint64, control Control) *world {
+	w := &world{g: New(seed, 0, 3, 0, 5*ms), now: 1000 * s, seed: seed, trial: map[int][]int64{},
+		cold: map[*Instance][]int64{}, drained: map[*Instance]bool{}}
+	w.ops = []*OpType{w.g.OpType(s, 0, 3*s, 1, 0.2, Redeliverable, GroupAll, 0),
+		w.g.OpType(s, 0, 2*s, 2, 0, Deduplicated, GroupCell, s), w.g.OpType(s, 0, 2*s, 3, 0.2, AtMostOnce, GroupAll, 0)}
+	w.g.Bound(3, false, true, false, true, 500*ms)
+	w.g.Chill(0.4, 4*s, 4, testSpan)
+	w.g.Follow(false, 10*s)
+	w.g.Expose(testWindow, testFree, false, 0, false, []float64{0.1, 0.5, 1})
+	w.g.Judge(control, 1, 1, []float64{0.1, 0.4, 1}, s, 6*s, s, 10, true)
+	return w
+}
+
+func (w *world) draw(n int) int {
+	w.counter++
+	h := fnv.New64a()
+	fmt.Fprint(h, w.seed, w.counter)
+	return int(h.Sum64() >> 30 % uint64(n))
+}
+
+// list adds machines of a build.
+func (w *world) list(n int, startedAt int64, build int) {
+	for i := 0; i < n; i++ {
+		it := &Instance{}
+		w.instances = append(w.instances, it)
+		w.g.ToldInstance(it, true, true, build, 0, 0, len(w.instances)%2, 2, startedAt, w.now)
+	}
+	w.g.ToldListEnd(false, w.now)
+}
+
+func (w *world) take(op int, key uint64) *Command {
+	cmd := w.g.Take(w.ops[op], nil, key, 0, w.ops[op].timeout, false, w.now)
+	w.taken = append(w.taken, w.now)
+	w.cmds = append(w.cmds, cmd)
+	w.obey(cmd, w.g.Where(cmd, w.now))
+	return cmd
+}
+
+// obey carries a decision out and checks the five rules on it.
+func (w *world) obey(cmd *Command, d Decision) {
+	w.last = d
+	switch d.Act {
+	case Send:
+		w.checkSend(cmd, d)
+		w.out = append(w.out, d.Delivery)
+	case Nack:
+		for _, dl := range cmd.Deliveries {
+			if cmd.op.kind != Redeliverable && dl.mayRun {
+				w.fault("nacked a command that may have run")
+			}
+		}
+	}
+}
+
+func (w *world) checkSend(cmd *Command, d Decision) {
+	if w.drained[d.To] || !d.To.ready {
+		w.fault("sent to a machine that drains or is gone")
+	}
+	if w.now >= cmd.lastAnswer || cmd.Ended {
+		w.fault("sent for a command that is over")
+	}
+	for _, dl := range cmd.Deliveries[:len(cmd.Deliveries)-1] {
+		if !dl.Done {
+			w.fault("two deliveries out at once")
+		}
+		if dl.mayRun && (cmd.op.kind == AtMostOnce ||
+			cmd.op.kind == Deduplicated && (dl.cell != d.To.cell || w.now >= dl.sentAt+cmd.op.window)) {
+			w.fault("an effect may happen twice")
+		}
+	}
+	if b := d.To.build; b > w.g.exposure.build || b == w.g.exposure.build && w.g.exposure.phase != Released {
+		w.trial[b] = append(w.trial[b], w.now)
+		if most := w.most; float64(since(w.trial[b], w.now-testWindow)) > testFree+most*float64(since(w.taken, w.now-testWindow)) {
+			w.fault("exposure beyond the cap")
+		}
+	}
+	if age := w.now - d.To.startedAt; d.To.startedAt > 0 && age < 4*s {
+		w.cold[d.To] = append(w.cold[d.To], w.now)
+		// Three gateways like this one, each with a third of what eight machines of this power can do.
+		able := 0.4 + 0.6*float64(age)/float64(4*s)
+		if float64(3*since(w.cold[d.To], w.now-testSpan)) > 4*able*capacity*1.5+3 {
+			w.fault("a cold machine pushed over")
+		}
+	}
+}
+
+// capacity is what a warm machine answers in a second in these runs, over all gateways.
+const capacity = 60.0
+
+func since(at []int64, after int64) int {
+	n := 0
+	for _, t := range at {
+		if t > after {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) fault(what string) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("%s, at %.3f s", what, float64(w.now-1000*s)/1e9)
+	}
+}
+
+func (w *world) end(dl *Delivery, how Outcome) {
+	for i, o := range w.out {
+		if o == dl {
+			w.out = append(w.out[:i], w.out[i+1:]...)
+			break
+		}
+	}
+	w.obey(dl.Cmd, w.g.After(dl, how, w.now-dl.sentAt, how == Acked, w.now))
+}
+
+func (dl *Delivery) took(w *world) bool { return w.now-dl.sentAt >= 30*ms }
+
+// finish acks what has been out for so long.
+func (w *world) finish(after int64) {
+	for _, dl := range append([]*Delivery(nil), w.out...) {
+		if w.now-dl.sentAt >= after {
+			w.end(dl, Acked)
+		}
+	}
+}
+
+// run passes time with commands; the first ill machines of the newest build fail a third of them.
+func (w *world) run(span int64, ill int) {
+	sick := map[*Instance]bool{}
+	for i := len(w.instances) - 4; i < len(w.instances)-4+ill; i++ {
+		sick[w.instances[i]] = true
+	}
+	for end := w.now + span; w.now < end; w.now += 5 * ms {
+		w.take(0, 0)
+		for _, dl := range append([]*Delivery(nil), w.out...) {
+			if now := w.now; now-dl.sentAt >= int64(20+w.draw(60))*ms {
+				if sick[dl.To] && w.draw(3) > 0 {
+					w.end(dl, Errored)
+				} else {
+					w.end(dl, Acked)
+				}
+			}
+		}
+		w.wait()
+	}
+}
+
+// wait asks for the chores, carries out those on commands and gives the rest back.
+func (w *world) wait() Chores {
+	_, due := w.g.Wait(w.now)
+	for _, cmd := range due.Ready {
+		w.obey(cmd, w.g.Where(cmd, w.now))
+	}
+	for _, dl := range due.Cancel {
+		if w.draw(2) == 0 {
+			w.end(dl, Withdrawn)
+		}
+	}
+	return due
+}
