--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,14 @@
-// How this module is called. A gateway is made by New and told its deployment's figures part by part (OpType, Tenant,
-// Bound, Price, Chill, Follow, Expose, Judge). Facts are told to it: Take (a command came), ToldInstance, ToldOnly,
-// ToldListFailed, ToldListEnd, ToldStage, ToldVote, ToldTotals, ToldLoad, ToldProbe, ToldSums, ToldWrong, ToldFlowing,
-// ToldGone. It is asked three things: Where (to send this command, or not yet, or never), After (what to do after this
-// outcome) and Wait (how long until it is to be asked again, with the chores that are due). The types that go in and
-// out, and all that is remembered, are in state.go; docs/design.md gives the reasons. Times are whole nanoseconds.
+// How this module is called. A gateway is made by New and told its deployment's figures part by part (OpType,
+// Tenant, Bound, Price, Chill, Follow, Expose, Judge). Facts are told to it: Take (a command came),
+// ToldInstance, ToldOnly, ToldListFailed, ToldListEnd, ToldStage, ToldVote, ToldTotals, ToldLoad, ToldProbe,
+// ToldWrong, ToldFlowing, ToldGone. It is asked three things: Where (to send this command, or not yet, or
+// never), After (what to do after this outcome) and Wait (how long until it is to be asked again, with the
+// chores that are due). The types that go in and out, and all that is remembered, are in state.go;
+// docs/design.md gives the reasons. Times are whole nanoseconds.
 //
-// Reading order: the tuned values; Where, the ordinary path; the rules, which every delivery passes in allowed; the
-// choice of an instance; After and what is learned from it; facts; the pair test and the vote; Wait.
+// Reading order: the tuned values; Where, the ordinary path; the rules, which every delivery passes in
+// allowed; the choice of an instance; After and what is learned from it; facts; the pair test and the vote;
+// Wait.
 
 package choice
 
@@ -27,13 +29,12 @@
 	poolEvery   = 500 * ms // running totals go out this often
 	voterCount  = 3        // voters hashed by build, or as many as votes are required
 	holdLevel   = 4.0      // under a clock a back vote is kept while the product stays above this
-	unlistedFor = 12 * s   // a stage whose machines the list does not show in full by then is judged by those shown
+	unlistedFor = 12 * s   // by then a stage is judged by the machines that the list shows
 	slowShare   = 0.2      // of the earlier build's answers lie above its learned level
 	slowMargin  = 1.25     // a trial answer is slow above this multiple of that level
-	slowPool    = 0.0      // ns; a level is not used before it has learned from enough answers
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
-	fleetRoom   = 0.8      // of the machines busy before the build: above that, times hang on little changes of load
+	fleetRoom   = 0.8      // of the machines busy before the build: above it, load decides the times
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
@@ -49,16 +50,18 @@
 	limitCut     = 0.85
 	limitGrow    = 0.15 // small, so that about one answer in ten may be congested and not one in two
 
-	heldLook    = 64    // held commands that are asked about at once
-	coldShare   = 0.65  // of the multiple that pushes a cold instance over; the rest is left for chance
-	coldMost    = 1.1   // of what a cold instance can do: more would only queue there
-	trialSpan   = 4 * s // over which a trial instance's share is counted
-	trialPush   = 1.1   // of a trial instance's share of our commands that it gets at most
-	lateWorthy  = 0.5   // of a command's importance: a late answer worth less gives way to commands that wait
-	pinnedShare = 0.6   // of the cap: pinned keys may ask for this much of it before no further key is pinned
+	heldLook    = 64     // held commands that are asked about at once
+	coldShare   = 0.65   // of the multiple that pushes a cold instance over; the rest is left for chance
+	coldMost    = 1.1    // of what a cold instance can do: more would only queue there
+	trialSpan   = 4 * s  // over which a trial instance's share is counted
+	trialPush   = 1.1    // of a trial instance's share of our commands that it gets at most
+	lateWorthy  = 0.5    // of a command's importance: a late answer worth less gives way to commands that wait
+	keysKnown   = 200000 // keys counted before their counts are begun anew
+	pinnedShare = 0.6    // of the cap: pinned keys may ask for this much of it before no further key is pinned
 )
 
-// New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between two calls.
+// New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between
+// two calls.
 func New(seed uint64, rank, peers, zone int, tick int64) *Gateway {
 	g := &Gateway{seed: seed, rank: rank, peers: max(peers, 1), zone: zone, tick: max(tick, ms)}
 	g.exposure.trial = map[int][]window{}
@@ -70,24 +73,17 @@
 }
 
 // OpType adds one type of command.
-func (g *Gateway) OpType(target int64, stretch float64, timeout int64, importance, lateShare float64, kind Kind,
-	group Group, window int64) *OpType {
-	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout, importance: importance,
-		lateShare: lateShare, kind: kind, group: group, window: window,
-		mean: float64(target) / 4}
+func (g *Gateway) OpType(target int64, stretch float64, timeout int64, importance, lateShare float64,
+	kind Kind, group Group, window int64) *OpType {
+	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout,
+		importance: importance, lateShare: lateShare, kind: kind, group: group, window: window}
+	op.mean = float64(target) / 4
 	g.ops = append(g.ops, op)
 	return op
 }
 
-// Tenant adds a customer with its share in commands a second over all gateways.
-func (g *Gateway) Tenant(quota float64) *Tenant {
-	t := &Tenant{quota: quota}
-	g.tenants = append(g.tenants, t)
-	return t
-}
-
 // Take books a command that came with the time its client still waits.
-func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left int64, repeat bool, now int64) *Command {
+func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left, now int64) *Command {
 	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
 	cmd.target = min(now+op.target+int64(op.stretch*float64(work)), cmd.lastAnswer)
 	cmd.weight = op.importance / float64(max(op.target, ms))
@@ -99,17 +95,20 @@
 	op.taken.add(now, e.window)
 	g.cold.taken.add(now, max(g.cold.span, trialSpan))
 	if e.oneWay && key != 0 {
+		if len(e.seen) > keysKnown { // old counts tell little of how often a key comes
+			e.seen, e.all, e.pinning = map[uint64]int{}, 0, 0
+		}
 		e.seen[key]++
 		e.all++
-		if _, ok := e.pinned[key]; ok {
+		if e.pinned[key] >= g.judge.build {
 			e.pinning++
 		}
 	}
 	return cmd
 }
 
-// overShare tells whether a tenant sends more than its share of what this gateway sees. A gateway cannot know the
-// others' traffic, so it compares shares of its own.
+// overShare tells whether a tenant sends more than its share of what this gateway sees. A gateway cannot know
+// the others' traffic, so it compares shares of its own.
 func (g *Gateway) overShare(t *Tenant, now int64) bool {
 	t.recent = t.recent*math.Exp(-float64(now-t.at)/2e9) + 1
 	t.at = now
@@ -126,12 +125,13 @@
 	if cmd.Ended || cmd.Open > 0 {
 		return Decision{Act: Nothing}
 	}
-	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be worth
-	// something; else the final answer goes out at once.
+	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be
+	// worth something; else the final answer goes out at once.
 	if g.bound(cmd)-now <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
 		return g.giveUp(cmd, now)
 	}
-	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of ours.
+	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of
+	// ours.
 	to := g.pick(cmd, true, now)
 	if to == nil {
 		to = g.pick(cmd, false, now)
@@ -142,8 +142,8 @@
 	return g.launch(cmd, to, now)
 }
 
-// bound is the moment after which an answer is not worth its work: the service target where a late answer earns
-// nothing, or little while others wait for room; else the client's patience.
+// bound is the moment after which an answer is not worth its work: the service target where a late answer
+// earns nothing, or little while others wait for room; else the client's patience.
 func (g *Gateway) bound(cmd *Command) int64 {
 	if cmd.op.lateShare <= 0 || cmd.op.lateShare < lateWorthy && len(g.held) > 0 {
 		return cmd.target
@@ -151,8 +151,8 @@
 	return cmd.lastAnswer
 }
 
-// expected is the time a delivery of this command is expected to take. A command's first delivery is not refused for
-// a mean that trouble has inflated.
+// expected is the time a delivery of this command is expected to take. A command's first delivery is not
+// refused for a mean that trouble has inflated.
 func (g *Gateway) expected(cmd *Command) float64 {
 	if len(cmd.Deliveries) == 0 {
 		return min(cmd.op.mean*1.3, float64(cmd.op.target)*0.6)
@@ -166,10 +166,11 @@
 		return g.hold(cmd)
 	}
 	g.unhold(cmd)
-	dl := &Delivery{Number: len(cmd.Deliveries), Cmd: cmd, To: to, sentAt: now, build: to.build, zone: to.zone, cell: to.cell,
-		mayRun: true,
-		cold:   to.startedAt > 0 && now-to.startedAt < warmSkip,
-		chilly: to.startedAt > 0 && now-to.startedAt < max(warmSkip, g.cold.warm)}
+	dl := &Delivery{Number: len(cmd.Deliveries), Cmd: cmd, To: to, sentAt: now, mayRun: true,
+		build: to.build, zone: to.zone, cell: to.cell}
+	if age := now - to.startedAt; to.startedAt > 0 {
+		dl.cold, dl.chilly = age < warmSkip, age < max(warmSkip, g.cold.warm)
+	}
 	cmd.Deliveries = append(cmd.Deliveries, dl)
 	cmd.Open++
 	to.open = append(to.open, dl)
@@ -178,13 +179,13 @@
 		w := g.trialWindow(to.build, cmd.op)
 		w.add(now, g.exposure.window)
 	}
-	// It may stay out as long as the client waits: what we stop waiting for may go on working unseen, and a limit that
-	// does not count it lets a jam feed itself. Silent machines are found out by rescue instead.
+	// It may stay out as long as the client waits: what we stop waiting for may go on working unseen, and a
+	// limit that does not count it lets a jam feed itself. Silent machines are found out by rescue instead.
 	return Decision{Act: Send, To: to, For: cmd.lastAnswer - now, Delivery: dl}
 }
 
-// hold keeps a command for later; Wait brings it back: the most important first, and of those the newest, since in a
-// jam the oldest would all be served just too late.
+// hold keeps a command for later; Wait brings it back: the most important first, and of those the newest,
+// since in a jam the oldest would all be served just too late.
 func (g *Gateway) hold(cmd *Command) Decision {
 	if !cmd.held {
 		cmd.held = true
@@ -196,21 +197,8 @@
 	return Decision{Act: Hold}
 }
 
-func (g *Gateway) unhold(cmd *Command) {
-	if !cmd.held {
-		return
-	}
-	cmd.held = false
-	for i, c := range g.held {
-		if c == cmd {
-			g.held = append(g.held[:i], g.held[i+1:]...)
-			return
-		}
-	}
-}
-
-// giveUp gives the final answer. A nack says that trying again is harmless: only where no delivery can have run, or
-// where a repeat does no harm.
+// giveUp gives the final answer. A nack says that trying again is harmless: only where no delivery can have
+// run, or where a repeat does no harm.
 func (g *Gateway) giveUp(cmd *Command, now int64) Decision {
 	g.unhold(cmd)
 	cmd.Ended = true
@@ -276,8 +264,8 @@
 	return &e.trial[build][0]
 }
 
-// exposed: the cap on a build on trial, the stages closed to effects, and keys that move forward only. A lower cap is
-// applied at once, to deliveries made before it as well: the grace is never used.
+// exposed: the cap on a build on trial, the stages closed to effects, and keys that move forward only. A
+// lower cap is applied at once, to deliveries made before it as well: the grace is never used.
 func (g *Gateway) exposed(cmd *Command, to *Instance, now int64) bool {
 	e := &g.exposure
 	if e.oneWay && cmd.key != 0 && to.build < e.pinned[cmd.key] {
@@ -304,9 +292,10 @@
 	return float64(sent+1) <= e.allowance+most*float64(taken.count(now-e.window+g.tick))
 }
 
-// coldRoom bounds what a fresh instance gets, as a budget over the stated span. The gateways do not hear of each
-// other's deliveries; if each keeps to a fraction of what an instance of that size would get of its own commands, the
-// sum keeps to that fraction as well. A gateway with little traffic, or with no history yet, has a budget of one.
+// coldRoom bounds what a fresh instance gets, as a budget over the stated span. The gateways do not hear of
+// each other's deliveries; if each keeps to a fraction of what an instance of that size would get of its own
+// commands, the sum keeps to that fraction as well. A gateway with little traffic, or with no history yet,
+// has a budget of one.
 func (g *Gateway) coldRoom(to *Instance, now int64) bool {
 	c := &g.cold
 	age := now - to.startedAt
@@ -321,9 +310,9 @@
 	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*able*share)
 }
 
-// recall learns what warm machines usually answer us for their power within the cold span. Answers are bounded by what
-// machines can do; what is asked or sent is not, where clients retry or machines fail fast. While most of the fleet
-// is cold or gone, what it did before stands.
+// recall learns what warm machines usually answer us for their power within the cold span. Answers are
+// bounded by what machines can do; what is asked or sent is not, where clients retry or machines fail fast.
+// While most of the fleet is cold or gone, what it did before stands.
 func (g *Gateway) recall(now int64) {
 	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
@@ -340,14 +329,15 @@
 	}
 }
 
-// pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed. Those
-// in doubt are drawn only where no other may serve at all: with others merely full, a command waits, as a machine that
-// fails fast is never full and would draw everything. At-most-once commands never go where a delivery is overdue.
+// pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed.
+// Those in doubt are drawn only where no other may serve at all: with others merely full, a command waits, as
+// a machine that fails fast is never full and would draw everything. At-most-once commands never go where a
+// delivery is overdue.
 func (g *Gateway) pick(cmd *Command, trial bool, now int64) *Instance {
 	var sound, doubtful []*Instance
 	full := false
 	for _, it := range g.instances {
-		if !it.ready || g.onTrial(it.build) != trial || trial && !(g.mayPin(cmd) && g.headroom(it, now)) ||
+		if g.onTrial(it.build) != trial || trial && !(g.mayPin(cmd) && g.headroom(it, now)) ||
 			!g.allowed(cmd, it, now) {
 			continue
 		}
@@ -377,13 +367,14 @@
 	return a
 }
 
-// headroom: a trial instance gets little more than its size's share of our commands, even where the cap allows more: a
-// machine that is slow because it is overloaded would speak against its build.
+// headroom: a trial instance gets little more than its size's share of our commands, even where the cap
+// allows more: a machine that is slow because it is overloaded would speak against its build.
 func (g *Gateway) headroom(it *Instance, now int64) bool {
 	if float64(it.sent.count(now-trialSpan)+1) > max(1, trialPush*g.share(it, trialSpan, now)) {
 		return false
 	}
-	// Nor a burst when it is first listed: what it holds of ours is kept to what the others hold for their power.
+	// Nor a burst when it is first listed: what it holds of ours is kept to what the others hold for their
+	// power.
 	open, power := 0, 0.0
 	for _, o := range g.instances {
 		if o.ready && !g.onTrial(o.build) {
@@ -408,21 +399,22 @@
 	return load
 }
 
-// mayPin keeps one-way keys from outgrowing the cap: a key that the trial answers must stay there, so rare keys go
-// first, and none while the pinned ones already ask for most of the cap.
+// mayPin keeps one-way keys from outgrowing the cap: a key that the trial answers must stay there, so rare
+// keys go first, and none while the pinned ones already ask for most of the cap.
 func (g *Gateway) mayPin(cmd *Command) bool {
 	e := &g.exposure
 	if !e.oneWay || cmd.key == 0 || e.cap >= 1 {
 		return true
 	}
-	if _, ok := e.pinned[cmd.key]; ok {
+	if e.pinned[cmd.key] >= g.judge.build {
 		return true
 	}
 	return float64(e.pinning) <= pinnedShare*e.cap*float64(e.all) &&
 		float64(e.seen[cmd.key]-1) <= 0.1*e.cap*float64(e.all)
 }
 
-// overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back since.
+// overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back
+// since.
 func (g *Gateway) overdue(it *Instance, now int64) bool {
 	return len(it.open) > 0 && now >= g.overdueAt(it.open[0])
 }
@@ -456,11 +448,8 @@
 	}
 	g.tend(dl, how, took, now)
 	g.witness(dl, how, took)
-	if how == Acked && g.exposure.oneWay && cmd.key != 0 && dl.build > g.exposure.pinned[cmd.key] && g.onTrial(dl.build) {
-		if _, ok := g.exposure.pinned[cmd.key]; !ok {
-			g.exposure.pinning += g.exposure.seen[cmd.key]
-		}
-		g.exposure.pinned[cmd.key] = dl.build
+	if how == Acked {
+		g.pin(cmd.key, dl.build)
 	}
 	if settled || how == Acked {
 		cmd.Ended = true
@@ -475,6 +464,20 @@
 	return g.Where(cmd, now)
 }
 
+// pin keeps a key that a build has answered from going to an earlier one, on trial and after its release
+// alike.
+func (g *Gateway) pin(key uint64, build int) {
+	e := &g.exposure
+	stands := build > e.build || build == e.build && (e.phase == OnTrial || e.phase == Released)
+	if !e.oneWay || key == 0 || build <= e.pinned[key] || !stands {
+		return
+	}
+	if build == g.judge.build {
+		e.pinning += e.seen[key]
+	}
+	e.pinned[key] = build
+}
+
 // tend keeps an instance's health: its limit, its speed, and whether it is set aside.
 func (g *Gateway) tend(dl *Delivery, how Outcome, took, now int64) {
 	to, op := dl.To, dl.Cmd.op
@@ -521,17 +524,6 @@
 	}
 }
 
-// trialMachines counts the ready machines of the build under judgement.
-func (g *Gateway) trialMachines() int {
-	n := 0
-	for _, it := range g.instances {
-		if it.ready && it.build >= g.judge.build {
-			n++
-		}
-	}
-	return n
-}
-
 // model gives what is known of a kind of machine.
 func (g *Gateway) model(number int) *Model {
 	for len(g.models) <= number {
@@ -545,15 +537,6 @@
 	return g.models[number]
 }
 
-// power is what an instance can do against others: its size at the pace of its kind of machine.
-func (g *Gateway) power(it *Instance) float64 { return it.size / g.model(it.model).pace }
-
-// share is the number of this gateway's commands of the last span that fall to an instance by its power.
-func (g *Gateway) share(it *Instance, span, now int64) float64 {
-	power := g.power(it)
-	return float64(g.cold.taken.count(now-span)) * power / max(g.list.power, power)
-}
-
 func (g *Gateway) cut(to *Instance, now int64) {
 	if now-to.cutAt > 100*ms {
 		to.limit, to.cutAt = max(1, to.limit*limitCut), now
@@ -580,15 +563,6 @@
 	}
 }
 
-// ToldOnly tells which instances a whole list named: the others are gone.
-func (g *Gateway) ToldOnly(named map[*Instance]bool, now int64) {
-	for _, it := range g.instances {
-		if !named[it] {
-			it.ready = false
-		}
-	}
-}
-
 // ToldListEnd closes an update of the list.
 func (g *Gateway) ToldListEnd(cached bool, now int64) {
 	power, places, newest := 0.0, 0, 0
@@ -642,8 +616,8 @@
 	g.regard(build, now)
 }
 
-// ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the platform's
-// calls are shared by all gateways. One that may have counted is repeated too.
+// ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the
+// platform's calls are shared by all gateways. One that may have counted is repeated too.
 func (g *Gateway) ToldVote(how Outcome, now int64) {
 	j := &g.judge
 	j.waiting = false
@@ -658,29 +632,6 @@
 	}
 }
 
-// ToldTotals tells a peer's running totals; the latest of each sender stands.
-func (g *Gateway) ToldTotals(t *Totals, now int64) {
-	if t.From < 0 || t.From >= len(g.judge.heard) || t.From == g.rank || len(t.Cells) != g.cells() {
-		return
-	}
-	if had := g.judge.heard[t.From]; had == nil || t.Build > had.Build || t.Build == had.Build && t.At > had.At {
-		g.judge.heard[t.From] = t
-	}
-}
-
-// ToldLoad tells how busy an instance says it is.
-func (g *Gateway) ToldLoad(it *Instance, busy float64, now int64) { it.busy = busy }
-
-// ToldProbe tells how a probe ended.
-func (g *Gateway) ToldProbe(it *Instance, how Outcome, took, now int64) {
-	if how == Acked {
-		it.heardAt = now
-	}
-}
-
-// ToldSums tells what the platform counted of a build and op type.
-func (g *Gateway) ToldSums(build int, op *OpType, tries, failed uint32, now int64) {}
-
 // ToldWrong tells that a client judged an answer of an instance wrong.
 func (g *Gateway) ToldWrong(it *Instance, op *OpType, sentAt, now int64) {
 	if j := &g.judge; j.build > 0 && sentAt >= j.seenAt {
@@ -688,25 +639,13 @@
 	}
 }
 
-// ToldFlowing tells that an answer has begun to stream: it belongs to the client from here on.
-func (g *Gateway) ToldFlowing(dl *Delivery, now int64) {
-	dl.To.heardAt = now
-	dl.Cmd.Ended = true
-}
-
-// ToldGone tells that the client has left.
-func (g *Gateway) ToldGone(cmd *Command) {
-	cmd.Ended = true
-	g.unhold(cmd)
-}
-
 // regard starts the judgement of a build when it is first heard of.
 func (g *Gateway) regard(build int, now int64) {
 	j := &g.judge
 	if g.exposure.build < 0 || build <= j.build || !g.onTrial(build) {
 		return // the build of the start is not on trial
 	}
-	j.build, j.seenAt, j.against = build, now, false
+	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
 	j.own = make([]uint32, g.cells())
 	for _, m := range g.models {
 		m.before = append([]float64(nil), m.level...)
@@ -714,19 +653,6 @@
 	j.vote, j.againAt = Vote{}, 0
 }
 
-func (g *Gateway) cells() int { return 2*len(g.ops)*cellKinds + 2 }
-
-func (g *Gateway) cell(trial bool, op *OpType) int {
-	return (g.side(trial)*len(g.ops) + op.number) * cellKinds
-}
-
-func (g *Gateway) side(trial bool) int {
-	if trial {
-		return 0
-	}
-	return 1
-}
-
 // witness counts an outcome as evidence for or against its build.
 func (g *Gateway) witness(dl *Delivery, how Outcome, took int64) {
 	j, op := &g.judge, dl.Cmd.op
@@ -764,8 +690,8 @@
 	default:
 		return
 	}
-	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs on
-	// our own patience, and on load, which the margin allows for.
+	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs
+	// on our own patience, and on load, which the margin allows for.
 	if m.known[op.number] < levelKnown || dl.chilly {
 		return
 	}
@@ -785,11 +711,11 @@
 	}
 }
 
-// fold closes a block of evidence. A machine that does far worse than the others of its build speaks of itself, not of
-// the build: its block is left out (guards against a crash, hang, slowness or fast errors of single trial machines; it
-// may delay the case against a build that ruins some machines before others). Times: within a block both builds met the
-// same load, so what one was to expect is its share of the slow answers of both (guards against a baseline from a
-// calmer or busier period).
+// fold closes a block of evidence. A machine that does far worse than the others of its build speaks of
+// itself, not of the build: its block is left out (guards against a crash, hang, slowness or fast errors of
+// single trial machines; it may delay the case against a build that ruins some machines before others).
+// Times: within a block both builds met the same load, so what one was to expect is its share of the slow
+// answers of both (guards against a baseline from a calmer or busier period).
 func (g *Gateway) fold() {
 	j := &g.judge
 	for _, op := range g.ops {
@@ -819,37 +745,9 @@
 	return n >= 2 && (to.failing > failingAside+failing || to.slow > oddSlow*slow || to.strikes > 0)
 }
 
-// peersOf gives the median share of errors and the median time of the other ready machines of an instance's build: what
-// most of them suffer is the build's, and no ground to set one aside.
-func (g *Gateway) peersOf(to *Instance) (failing, slow float64, n int) {
-	var fails, slows []float64
-	for _, it := range g.instances {
-		if it != to && it.ready && it.build == to.build {
-			fails, slows = append(fails, it.failing), append(slows, it.slow)
-		}
-	}
-	if n = len(fails); n == 0 {
-		return 1, 1, 0
-	}
-	sort.Float64s(fails)
-	sort.Float64s(slows)
-	return fails[n/2], slows[n/2], n
-}
-
-// meanBusy is the machines' own figure, 0 where they report none.
-func (g *Gateway) meanBusy() float64 {
-	sum, n := 0.0, 0.0
-	for _, it := range g.instances {
-		if it.ready {
-			sum, n = sum+it.busy, n+1
-		}
-	}
-	return sum / max(n, 1)
-}
-
-// compare tells whether now can be held against the time before the build: no machine missing or cold, and not more
-// commands than then, as far as they are not tries again after our own refusals. A crash, a swap or a burst slows all
-// answers too and says nothing of the build.
+// compare tells whether now can be held against the time before the build: no machine missing or cold, and
+// not more commands than then, as far as they are not tries again after our own refusals. A crash, a swap or
+// a burst slows all answers too and says nothing of the build.
 func (g *Gateway) compare(now int64) bool {
 	n := 0
 	for _, it := range g.instances {
@@ -872,8 +770,8 @@
 	return phi*math.Log(phi) - (phi+n)*math.Log(phi+l) + a - b + l
 }
 
-// pair is the test's product over both builds, in logarithms; it speaks against the trial only where the trial fails
-// above its L.
+// pair is the test's product over both builds, in logarithms; it speaks against the trial only where the
+// trial fails above its L.
 func pair(trialFails, lt, baseFails, lb float64) float64 {
 	e := product(trialFails, lt) + product(baseFails, lb)
 	if trialFails <= lt {
@@ -891,8 +789,8 @@
 	return pair(trialFails, trialTries*rate, baseFails, baseTries*rate)
 }
 
-// evidence pools the totals of all gateways on the build and averages the products: an average of such products keeps
-// the level alpha, so a look at each op type and at slow answers is paid for by the average.
+// evidence pools the totals of all gateways on the build and averages the products: an average of such
+// products keeps the level alpha, so a look at each op type and at slow answers is paid for by the average.
 func (g *Gateway) evidence() float64 {
 	j := &g.judge
 	sum := make([]uint32, len(j.own))
@@ -960,13 +858,15 @@
 	if e.phase != OnTrial || j.control == ControlClock {
 		return VoteNone
 	}
-	if latest, all := g.latestStart(); latest > 0 && now-latest >= onWait && (all || now-j.stageAt > unlistedFor) {
+	latest, all := g.latestStart()
+	if latest > 0 && now-latest >= onWait && (all || now-j.stageAt > unlistedFor) {
 		return VoteOn
 	}
 	return VoteNone
 }
 
-// latestStart is the latest listed start of the build's machines, and whether the list shows all of the stage's.
+// latestStart is the latest listed start of the build's machines, and whether the list shows all of the
+// stage's.
 func (g *Gateway) latestStart() (latest int64, all bool) {
 	e := &g.exposure
 	shown := 0
@@ -1039,8 +939,9 @@
 	return max(until-now, g.tick), due
 }
 
-// rescue calls off what lies with a silent instance, where it may be delivered again in time, so that it need not
-// wait for a time-out: this guards against machines that hang, go silent or are cut off. It tells when to look again.
+// rescue calls off what lies with a silent instance, where it may be delivered again in time, so that it need
+// not wait for a time-out: this guards against machines that hang, go silent or are cut off. It tells when to
+// look again.
 func (g *Gateway) rescue(it *Instance, now int64, due *Chores) int64 {
 	if len(it.open) == 0 || !g.limits.cancel {
 		return now + 10*s
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -6,7 +6,8 @@
 	"sort"
 )
 
-// This file only takes in what a deployment states and keeps the books that choice.go reads: no decision is here.
+// This file only takes in what a deployment states and keeps the books that choice.go reads: no decision is
+// here.
 
 // Bound tells what is permitted of deliveries.
 func (g *Gateway) Bound(deliveries int, copies, cancel, probes, advice bool, comeBack int64) {
@@ -30,19 +31,142 @@
 }
 
 // Expose tells how deliveries to a build on trial are bounded.
-func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool, caps []float64) {
+func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool,
+	caps []float64) {
 	e := &g.exposure
 	e.window, e.allowance, e.byOp, e.closed, e.oneWay, e.caps = window, allowance, byOp, closed, oneWay, caps
 }
 
 // Judge tells how votes move builds.
-func (g *Gateway) Judge(control Control, on, back int, shares []float64, bake, life, answerIn int64, rate float64,
-	messages bool) {
+func (g *Gateway) Judge(control Control, on, back int, shares []float64, bake, life, answerIn int64,
+	rate float64, messages bool) {
 	j := &g.judge
 	j.control, j.on, j.back, j.shares, j.bake, j.life = control, on, back, shares, bake, life
 	j.answerIn, j.rate, j.messages = answerIn, rate, messages && g.peers > 1
 }
 
+func (g *Gateway) unhold(cmd *Command) {
+	if !cmd.held {
+		return
+	}
+	cmd.held = false
+	for i, c := range g.held {
+		if c == cmd {
+			g.held = append(g.held[:i], g.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// meanBusy is the machines' own figure, 0 where they report none.
+func (g *Gateway) meanBusy() float64 {
+	sum, n := 0.0, 0.0
+	for _, it := range g.instances {
+		if it.ready {
+			sum, n = sum+it.busy, n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// trialMachines counts the ready machines of the build under judgement.
+func (g *Gateway) trialMachines() int {
+	n := 0
+	for _, it := range g.instances {
+		if it.ready && it.build >= g.judge.build {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gateway) cells() int { return 2*len(g.ops)*cellKinds + 2 }
+
+func (g *Gateway) cell(trial bool, op *OpType) int {
+	return (g.side(trial)*len(g.ops) + op.number) * cellKinds
+}
+
+func (g *Gateway) side(trial bool) int {
+	if trial {
+		return 0
+	}
+	return 1
+}
+
+// ToldLoad tells how busy an instance says it is.
+func (g *Gateway) ToldLoad(it *Instance, busy float64, now int64) { it.busy = busy }
+
+// ToldProbe tells how a probe ended.
+func (g *Gateway) ToldProbe(it *Instance, how Outcome, took, now int64) {
+	if how == Acked {
+		it.heardAt = now
+	}
+}
+
+// ToldFlowing tells that an answer has begun to stream: it belongs to the client from here on.
+func (g *Gateway) ToldFlowing(dl *Delivery, now int64) {
+	dl.To.heardAt = now
+	dl.Cmd.Ended = true
+}
+
+// ToldGone tells that the client has left.
+func (g *Gateway) ToldGone(cmd *Command) {
+	cmd.Ended = true
+	g.unhold(cmd)
+}
+
+// ToldTotals tells a peer's running totals; the latest of each sender stands.
+func (g *Gateway) ToldTotals(t *Totals, now int64) {
+	if t.From < 0 || t.From >= len(g.judge.heard) || t.From == g.rank || len(t.Cells) != g.cells() {
+		return
+	}
+	if had := g.judge.heard[t.From]; had == nil || t.Build > had.Build || t.Build == had.Build && t.At > had.At {
+		g.judge.heard[t.From] = t
+	}
+}
+
+// ToldOnly tells which instances a whole list named: the others are gone.
+func (g *Gateway) ToldOnly(named map[*Instance]bool, now int64) {
+	for _, it := range g.instances {
+		if !named[it] {
+			it.ready = false
+		}
+	}
+}
+
+// Tenant adds a customer with its share in commands a second over all gateways.
+func (g *Gateway) Tenant(quota float64) *Tenant {
+	t := &Tenant{quota: quota}
+	g.tenants = append(g.tenants, t)
+	return t
+}
+
+// power is what an instance can do against others: its size at the pace of its kind of machine.
+func (g *Gateway) power(it *Instance) float64 { return it.size / g.model(it.model).pace }
+
+// share is the number of this gateway's commands of the last span that fall to an instance by its power.
+func (g *Gateway) share(it *Instance, span, now int64) float64 {
+	power := g.power(it)
+	return float64(g.cold.taken.count(now-span)) * power / max(g.list.power, power)
+}
+
+// peersOf gives the median share of errors and the median time of the other ready machines of an instance's
+// build: what most of them suffer is the build's, and no ground to set one aside.
+func (g *Gateway) peersOf(to *Instance) (failing, slow float64, n int) {
+	var fails, slows []float64
+	for _, it := range g.instances {
+		if it != to && it.ready && it.build == to.build {
+			fails, slows = append(fails, it.failing), append(slows, it.slow)
+		}
+	}
+	if n = len(fails); n == 0 {
+		return 1, 1, 0
+	}
+	sort.Float64s(fails)
+	sort.Float64s(slows)
+	return fails[n/2], slows[n/2], n
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
--- a/choice/state.go
+++ b/choice/state.go
@@ -71,8 +71,9 @@
 // Act is what the caller is to do with a command now.
 type Act uint8
 
-// Nothing: the command is over or a delivery is out. Hold: not yet; Chores.Ready names it when its turn has come.
-// Send: deliver to To, for at most For. Nack and Fail are final answers; After tells the client when to come back.
+// Nothing: the command is over or a delivery is out. Hold: not yet; Chores.Ready names it when its turn has
+// come. Send: deliver to To, for at most For. Nack and Fail are final answers; After tells the client when to
+// come back.
 const (
 	Nothing Act = iota
 	Hold
@@ -107,7 +108,8 @@
 	Cancel []*Delivery // deliveries to call off
 }
 
-// Totals is one gateway's running evidence on a build, as sent to the voters: plain counters, laid out by the module.
+// Totals is one gateway's running evidence on a build, as sent to the voters: plain counters, laid out by the
+// module.
 type Totals struct {
 	From  int   // the sender's number
 	At    int64 // ns; when it was counted: the latest stands
@@ -201,7 +203,7 @@
 	strikes    int         // silent failures in a row
 	asideUntil int64
 	failing    float64             // smoothed share of errors
-	block      [][cellKinds]uint32 // evidence since the last totals, by op type: tries, failures, times, slow ones
+	block      [][cellKinds]uint32 // evidence since the last totals, by op type
 	brokeAt    int64               // when it last broke off deliveries
 }
 
