--- a/internal/simhost/facts.go
+++ b/internal/simhost/facts.go
@@ -9,7 +9,7 @@
 	"laurelring/choice"
 )
 
-// facts reads an instance's settings by name and keeps the first that was missing. Unknown ones are not looked at.
+// facts reads an instance's settings by name and keeps the first missing one; unknown ones are not looked at.
 type facts struct {
 	root gjson.Result
 	err  error
