--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
 	fleetRoom   = 0.8      // of the machines busy before the build: above it, load decides the times
+	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
@@ -302,12 +303,16 @@
 	if to.startedAt <= 0 || age > c.warm+c.span {
 		return true
 	}
-	able := c.from + (1-c.from)*max(0, min(1, float64(age-c.span/2)/float64(max(c.warm, 1))))
 	share := g.share(to, c.span, now)
 	if c.usual > 0 {
 		share = min(share, c.usual*g.power(to))
 	}
-	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*able*share)
+	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*g.able(age-c.span/2)*share)
+}
+
+// able is the share of its capacity that an instance of this age has at least.
+func (g *Gateway) able(age int64) float64 {
+	return g.cold.from + (1-g.cold.from)*max(0, min(1, float64(age)/float64(max(g.cold.warm, 1))))
 }
 
 // recall learns what warm machines usually answer us for their power within the cold span. Answers are
@@ -745,21 +750,20 @@
 	return n >= 2 && (to.failing > failingAside+failing || to.slow > oddSlow*slow || to.strikes > 0)
 }
 
-// compare tells whether now can be held against the time before the build: no machine missing or cold, and
-// not more commands than then, as far as they are not tries again after our own refusals. A crash, a swap or
-// a burst slows all answers too and says nothing of the build.
+// compare tells whether now can be held against the time before the build: the machines that are there, as far as they
+// are warm, would not be near their limit with the usual commands, and no more than those come, as far as they are not
+// tries again after our own refusals. A crash, a swap or a burst slows all answers too and says nothing of the build.
 func (g *Gateway) compare(now int64) bool {
-	n := 0
+	power := 0.0
 	for _, it := range g.instances {
-		if it.ready {
-			n++
-			if it.startedAt > 0 && now-it.startedAt < g.cold.warm {
-				return false
-			}
+		if it.ready && it.startedAt > 0 {
+			power += g.able(now-it.startedAt) * g.power(it)
+		} else if it.ready {
+			power += g.power(it)
 		}
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
-	return n >= g.list.places && g.judge.busy < fleetRoom && float64(fresh) <= 1.2*g.judge.usual+2
+	return g.judge.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*g.judge.usual+2
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
