--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,8 +44,9 @@
 	patience     = 6.0      // a delivery is overdue after this many mean times
 	asideFirst   = 300 * ms // an instance set aside is tried again after this, doubled at each further failure
 	asideMost    = 5 * s
-	failingAside = 0.3  // smoothed share of errors, beyond that of its build, that sets an instance aside
-	limitStart   = 12.0 // of our own deliveries that an instance may hold at first
+	doubtEvery   = 100 * ms // where all are in doubt, each gets a delivery this often
+	failingAside = 0.3      // smoothed share of errors, beyond that of its build, that sets an instance aside
+	limitStart   = 12.0     // of our own deliveries that an instance may hold at first
 	limitMost    = 200.0
 	congested    = 0.6 // of the service target: an answer slower than this lowers the limit
 	limitCut     = 0.85
@@ -133,14 +134,14 @@
 	}
 	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of
 	// ours.
-	to := g.pick(cmd, true, now)
-	if to == nil {
-		to = g.pick(cmd, false, now)
-	}
-	if to == nil {
-		return g.hold(cmd)
+	// Where none may serve but those in doubt, one of them is better than none.
+	trial, others, doubtful := g.candidates(cmd, now)
+	for _, some := range [][]*Instance{trial, others, doubtful} {
+		if len(some) > 0 {
+			return g.launch(cmd, g.fewer(some, cmd), now)
+		}
 	}
-	return g.launch(cmd, to, now)
+	return g.hold(cmd)
 }
 
 // bound is the moment after which an answer is not worth its work: the service target where a late answer
@@ -334,38 +335,40 @@
 	}
 }
 
-// pick draws two instances and takes the one with fewer of our own commands in flight for its size and speed.
-// Those in doubt are drawn only where no other may serve at all: with others merely full, a command waits, as
-// a machine that fails fast is never full and would draw everything. At-most-once commands never go where a
-// delivery is overdue.
-func (g *Gateway) pick(cmd *Command, trial bool, now int64) *Instance {
-	var sound, doubtful []*Instance
+// candidates are the instances that may have this command. Those in doubt come in only where no other may serve at
+// all: with others merely full, a command waits, as a machine that fails fast is never full and would draw
+// everything. They get a delivery now and then; at-most-once commands never go where one is overdue.
+func (g *Gateway) candidates(cmd *Command, now int64) (trial, others, doubtful []*Instance) {
 	full := false
 	for _, it := range g.instances {
-		if g.onTrial(it.build) != trial || trial && !(g.mayPin(cmd) && g.headroom(it, now)) ||
-			!g.allowed(cmd, it, now) {
+		on := g.onTrial(it.build)
+		if on && !(g.mayPin(cmd) && g.headroom(it, now)) || !g.allowed(cmd, it, now) {
 			continue
 		}
 		room := float64(len(it.open)) < it.limit
+		sound := !g.doubted(it, now) && !(it.strikes > 0 && cmd.op.kind == AtMostOnce)
 		switch {
-		case !g.doubted(it, now) && !(it.strikes > 0 && cmd.op.kind == AtMostOnce):
+		case sound && !room:
 			full = true
-			if room {
-				sound = append(sound, it)
-			}
-		case room && !trial && !(cmd.op.kind == AtMostOnce && g.overdue(it, now)):
+		case sound && on:
+			trial = append(trial, it)
+		case sound:
+			others = append(others, it)
+		case room && it.sent.count(now-doubtEvery) == 0 && !(cmd.op.kind == AtMostOnce && g.overdue(it, now)):
 			doubtful = append(doubtful, it)
 		}
 	}
-	if len(sound) == 0 && !full {
-		sound = doubtful
-	}
-	n := len(sound)
-	if n == 0 {
-		return nil
+	if full {
+		doubtful = nil
 	}
+	return trial, others, doubtful
+}
+
+// fewer draws two instances and takes the one with fewer of our own commands in flight for its size and speed.
+func (g *Gateway) fewer(some []*Instance, cmd *Command) *Instance {
+	n := len(some)
 	first := g.draw(n)
-	a, b := sound[first], sound[(first+1+g.draw(max(n-1, 1)))%n]
+	a, b := some[first], some[(first+1+g.draw(max(n-1, 1)))%n]
 	if g.burden(b, cmd) < g.burden(a, cmd) {
 		return b
 	}
@@ -515,14 +518,12 @@
 			to.strikes++ // on probation next: one delivery at a time
 			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
 		}
-	case Rejected:
-		g.cut(to, now)
-	case TimedOut, Broken, Unconnected, Withdrawn:
+	case TimedOut, Broken, Unconnected, Withdrawn, Rejected:
 		g.cut(to, now)
 		if how == TimedOut && to.heardAt > dl.sentAt {
 			op.mean += 0.05 * (time - op.mean) // it was at work: learn from it as well as from those that made it
 		}
-		if how == Unconnected || to.heardAt < dl.sentAt {
+		if how == Unconnected || how == Rejected || to.heardAt < dl.sentAt { // full, or draining unknown to the list
 			to.strikes++
 			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
 		}
