--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,10 +52,12 @@
 	limitCut     = 0.85
 	limitGrow    = 0.15 // small, so that about one answer in ten may be congested and not one in two
 
-	heldLook    = 64     // held commands that are asked about at once
-	coldShare   = 0.65   // of the multiple that pushes a cold instance over; the rest is left for chance
-	coldMost    = 1.1    // of what a cold instance can do: more would only queue there
-	trialSpan   = 4 * s  // over which a trial instance's share is counted
+	heldLook    = 64    // held commands that are asked about at once
+	coldShare   = 0.65  // of the multiple that pushes a cold instance over; the rest is left for chance
+	coldMost    = 1.1   // of what a cold instance can do: more would only queue there
+	trialSpan   = 4 * s // over which a trial instance's share is counted
+	trialLate   = 0.35  // of the fleet: in stages above this trial machines may get more
+	trialMost   = 1.4
 	trialPush   = 1.1    // of a trial instance's share of our commands that it gets at most
 	lateWorthy  = 0.5    // of a command's importance: a late answer worth less gives way to commands that wait
 	keysKnown   = 200000 // keys counted before their counts are begun anew
@@ -378,7 +380,11 @@
 // headroom: a trial instance gets little more than its size's share of our commands, even where the cap
 // allows more: a machine that is slow because it is overloaded would speak against its build.
 func (g *Gateway) headroom(it *Instance, now int64) bool {
-	if float64(it.sent.count(now-trialSpan)+1) > max(1, trialPush*g.share(it, trialSpan, now)) {
+	push := trialPush
+	if e := &g.exposure; e.stage < len(g.judge.shares) && g.judge.shares[e.stage] > trialLate {
+		push = trialMost // by then there is evidence, and what the earlier build still serves is the larger price
+	}
+	if float64(it.sent.count(now-trialSpan)+1) > max(1, push*g.share(it, trialSpan, now)) {
 		return false
 	}
 	// Nor a burst when it is first listed: what it holds of ours is kept to what the others hold for their
@@ -390,7 +396,7 @@
 			power += g.power(o)
 		}
 	}
-	return power == 0 || float64(len(it.open)) < 1+trialPush*float64(open)/power*g.power(it)
+	return power == 0 || float64(len(it.open)) < 1+push*float64(open)/power*g.power(it)
 }
 
 // burden is what decides between two instances: our own in flight there.
