--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,7 @@
 	coldShare   = 0.65  // of the multiple that pushes a cold instance over; the rest is left for chance
 	coldMost    = 1.1   // of what a cold instance can do: more would only queue there
 	trialSpan   = 4 * s // over which a trial instance's share is counted
-	trialLate   = 0.35  // of the fleet: in stages above this trial machines may get more
+	trialLate   = 0.5   // of the fleet: in stages above this trial machines may get more
 	trialMost   = 1.4
 	trialPush   = 1.1    // of a trial instance's share of our commands that it gets at most
 	lateWorthy  = 0.5    // of a command's importance: a late answer worth less gives way to commands that wait
