--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,8 @@
 	fleetRoom   = 0.8      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
+	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
+	workLeast   = 1.5      // times the earlier build's work for a command: less is not slow
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
 
@@ -313,17 +315,15 @@
 	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*g.able(age-c.span/2)*share)
 }
 
-// able is the share of its capacity that an instance of this age has at least.
-func (g *Gateway) able(age int64) float64 {
-	return g.cold.from + (1-g.cold.from)*max(0, min(1, float64(age)/float64(max(g.cold.warm, 1))))
-}
-
 // recall learns what warm machines usually answer us for their power within the cold span. Answers are
 // bounded by what machines can do; what is asked or sent is not, where clients retry or machines fail fast.
 // While most of the fleet is cold or gone, what it did before stands.
 func (g *Gateway) recall(now int64) {
 	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
+		if it.ready && now-it.startedAt > warmSkip {
+			g.judge.work[g.side(it.build >= g.judge.build)] += it.busy * g.power(it)
+		}
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
 			power += g.power(it)
 			acked += float64(it.acked.count(now - g.cold.span))
@@ -658,6 +658,7 @@
 		return // the build of the start is not on trial
 	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
+	j.work = [2]float64{}
 	j.own = make([]uint32, g.cells())
 	for _, m := range g.models {
 		m.before = append([]float64(nil), m.level...)
@@ -770,7 +771,7 @@
 		}
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
-	return g.judge.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*g.judge.usual+2
+	return g.judge.busy*g.list.power < fleetRoom*power && g.work(now) >= workShared*g.judge.worked && float64(fresh) <= fleetUsual*g.judge.usual+2
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
@@ -823,7 +824,13 @@
 	}
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
-	logs = append(logs, attempts(tt, tf, bt, bf), pair(ts, tl, bs, bl),
+	slower := pair(ts, tl, bs, bl)
+	// Where machines tell how busy they are: a trial that does no more work for a command than the earlier build is
+	// not slow, it waits in queues. Guards against load, cold keys and bursts; no help where no such figure comes.
+	if w := j.work; w[1] > 0 && tt > 0 && bt > 0 && w[0]/tt < workLeast*w[1]/bt {
+		slower = min(slower, 0)
+	}
+	logs = append(logs, attempts(tt, tf, bt, bf), slower,
 		attempts(since, slow, since, since*slowShare))
 	top, mean := logs[0], 0.0
 	for _, l := range logs {
@@ -923,6 +930,7 @@
 		if j.calm = j.own != nil && g.compare(now); j.own == nil {
 			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
 			j.busy += 0.3 * (g.meanBusy() - j.busy)
+			j.worked += 0.3 * (g.work(now) - j.worked)
 		}
 	}
 	if j.own != nil {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -167,6 +167,23 @@
 	return fails[n/2], slows[n/2], n
 }
 
+// work is what a command costs warm machines now, by their own figures and our answers; 0 where they report none.
+func (g *Gateway) work(now int64) float64 {
+	busy, acked := 0.0, 1.0
+	for _, it := range g.instances {
+		if it.ready && now-it.startedAt > g.cold.warm {
+			busy += it.busy * g.power(it)
+			acked += float64(it.acked.count(now - g.cold.span))
+		}
+	}
+	return busy / acked
+}
+
+// able is the share of its capacity that an instance of this age has at least.
+func (g *Gateway) able(age int64) float64 {
+	return g.cold.from + (1-g.cold.from)*max(0, min(1, float64(age)/float64(max(g.cold.warm, 1))))
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
--- a/choice/state.go
+++ b/choice/state.go
@@ -295,16 +295,18 @@
 
 	build    int // the build under judgement, 0 for none
 	own      []uint32
-	calm     bool      // now can be held against the time before the build
-	turned   window    // commands that we gave up
-	busy     float64   // the machines' own figure before the build
-	usual    float64   // our commands within a trial span before the build
-	heard    []*Totals // each sender's latest, by number
-	seenAt   int64     // when the list first showed the build
-	stageAt  int64     // when the present stage was first heard of
-	totalsAt int64     // when totals are next due
-	against  bool      // the product has reached its level
-	vote     Vote      // the last one cast
+	calm     bool       // now can be held against the time before the build
+	turned   window     // commands that we gave up
+	work     [2]float64 // busy time by the machines' own figures: trial, earlier builds
+	worked   float64    // what a command cost the machines before the build
+	busy     float64    // the machines' own figure before the build
+	usual    float64    // our commands within a trial span before the build
+	heard    []*Totals  // each sender's latest, by number
+	seenAt   int64      // when the list first showed the build
+	stageAt  int64      // when the present stage was first heard of
+	totalsAt int64      // when totals are next due
+	against  bool       // the product has reached its level
+	vote     Vote       // the last one cast
 	votedAt  int64
 	waiting  bool // for its answer
 	againAt  int64
