--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -39,6 +40,7 @@
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
 	workLeast   = 1.5      // times the earlier build's work for a command: less is not slow
+	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
 
@@ -66,28 +68,6 @@
 	pinnedShare = 0.6    // of the cap: pinned keys may ask for this much of it before no further key is pinned
 )
 
-// New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between
-// two calls.
-func New(seed uint64, rank, peers, zone int, tick int64) *Gateway {
-	g := &Gateway{seed: seed, rank: rank, peers: max(peers, 1), zone: zone, tick: max(tick, ms)}
-	g.exposure.trial = map[int][]window{}
-	g.exposure.pinned = map[uint64]int{}
-	g.exposure.seen = map[uint64]int{}
-	g.exposure.build = -1
-	g.judge.heard = make([]*Totals, g.peers)
-	return g
-}
-
-// OpType adds one type of command.
-func (g *Gateway) OpType(target int64, stretch float64, timeout int64, importance, lateShare float64,
-	kind Kind, group Group, window int64) *OpType {
-	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout,
-		importance: importance, lateShare: lateShare, kind: kind, group: group, window: window}
-	op.mean = float64(target) / 4
-	g.ops = append(g.ops, op)
-	return op
-}
-
 // Take books a command that came with the time its client still waits.
 func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left, now int64) *Command {
 	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
@@ -312,7 +292,8 @@
 	if c.usual > 0 {
 		share = min(share, c.usual*g.power(to))
 	}
-	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, min(c.multiple*coldShare, coldMost)*g.able(age-c.span/2)*share)
+	quota := min(c.multiple*coldShare, coldMost) * g.able(age-c.span/2) * share
+	return float64(to.sent.count(now-c.span-g.tick)+1) <= max(1, quota)
 }
 
 // recall learns what warm machines usually answer us for their power within the cold span. Answers are
@@ -337,9 +318,10 @@
 	}
 }
 
-// candidates are the instances that may have this command. Those in doubt come in only where no other may serve at
-// all: with others merely full, a command waits, as a machine that fails fast is never full and would draw
-// everything. They get a delivery now and then; at-most-once commands never go where one is overdue.
+// candidates are the instances that may have this command. Those in doubt come in only where no other may
+// serve at all: with others merely full, a command waits, as a machine that fails fast is never full and
+// would draw everything. They get a delivery now and then; at-most-once commands never go where one is
+// overdue.
 func (g *Gateway) candidates(cmd *Command, now int64) (trial, others, doubtful []*Instance) {
 	full := false
 	for _, it := range g.instances {
@@ -366,7 +348,8 @@
 	return trial, others, doubtful
 }
 
-// fewer draws two instances and takes the one with fewer of our own commands in flight for its size and speed.
+// fewer draws two instances and takes the one with fewer of our own commands in flight for its size and
+// speed.
 func (g *Gateway) fewer(some []*Instance, cmd *Command) *Instance {
 	n := len(some)
 	first := g.draw(n)
@@ -387,8 +370,7 @@
 	if float64(it.sent.count(now-trialSpan)+1) > max(1, push*g.share(it, trialSpan, now)) {
 		return false
 	}
-	// Nor a burst when it is first listed: what it holds of ours is kept to what the others hold for their
-	// power.
+	// Nor a burst when it is first listed: it holds no more of ours than the others for their power.
 	open, power := 0, 0.0
 	for _, o := range g.instances {
 		if o.ready && !g.onTrial(o.build) {
@@ -472,7 +454,7 @@
 	if cmd.Ended || cmd.Open > 0 {
 		return Decision{Act: Nothing}
 	}
-	if cmd.op.kind != Redeliverable && dl.mayRun && cmd.op.kind == AtMostOnce {
+	if dl.mayRun && cmd.op.kind == AtMostOnce {
 		return g.giveUp(cmd, now)
 	}
 	return g.Where(cmd, now)
@@ -496,8 +478,7 @@
 func (g *Gateway) tend(dl *Delivery, how Outcome, took, now int64) {
 	to, op := dl.To, dl.Cmd.op
 	time := float64(took)
-	switch how {
-	case Acked, Errored, Rejected:
+	if how == Acked || how == Errored || how == Rejected {
 		to.heardAt = now
 	}
 	switch how {
@@ -521,32 +502,23 @@
 	case Errored:
 		to.failing += 0.15 * (1 - to.failing)
 		if others, _, _ := g.peersOf(to); to.failing > failingAside+others {
-			to.strikes++ // on probation next: one delivery at a time
-			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
+			g.aside(to, now)
 		}
 	case TimedOut, Broken, Unconnected, Withdrawn, Rejected:
 		g.cut(to, now)
 		if how == TimedOut && to.heardAt > dl.sentAt {
 			op.mean += 0.05 * (time - op.mean) // it was at work: learn from it as well as from those that made it
 		}
-		if how == Unconnected || how == Rejected || to.heardAt < dl.sentAt { // full, or draining unknown to the list
-			to.strikes++
-			to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
+		if how == Unconnected || how == Rejected || to.heardAt < dl.sentAt { // full, or draining unlisted
+			g.aside(to, now)
 		}
 	}
 }
 
-// model gives what is known of a kind of machine.
-func (g *Gateway) model(number int) *Model {
-	for len(g.models) <= number {
-		m := &Model{pace: 1}
-		for _, op := range g.ops {
-			m.level = append(m.level, float64(op.target)/3)
-			m.known = append(m.known, 0)
-		}
-		g.models = append(g.models, m)
-	}
-	return g.models[number]
+// aside leaves a machine alone for a time; after that it is on probation, one delivery at a time.
+func (g *Gateway) aside(to *Instance, now int64) {
+	to.strikes++
+	to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
 }
 
 func (g *Gateway) cut(to *Instance, now int64) {
@@ -568,7 +540,7 @@
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
 		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
 	}
-	it.ready, it.build, it.zone, it.model, it.cell = ready && present, build, zone, model, cell
+	it.ready, it.here, it.build, it.zone, it.model, it.cell = ready && present, present, build, zone, model, cell
 	it.size, it.startedAt = size, startedAt
 	if size <= 0 {
 		it.size = 1
@@ -578,6 +550,10 @@
 // ToldListEnd closes an update of the list.
 func (g *Gateway) ToldListEnd(cached bool, now int64) {
 	power, places, newest := 0.0, 0, 0
+	g.instances = slices.DeleteFunc(g.instances, func(it *Instance) bool {
+		it.listed = it.ready || it.here || len(it.open) > 0
+		return !it.listed
+	})
 	for _, it := range g.instances {
 		if it.ready {
 			newest = max(newest, it.build)
@@ -758,9 +734,10 @@
 	return n >= 2 && (to.failing > failingAside+failing || to.slow > oddSlow*slow || to.strikes > 0)
 }
 
-// compare tells whether now can be held against the time before the build: the machines that are there, as far as they
-// are warm, would not be near their limit with the usual commands, and no more than those come, as far as they are not
-// tries again after our own refusals. A crash, a swap or a burst slows all answers too and says nothing of the build.
+// compare tells whether now can be held against the time before the build: the machines that are there, as
+// far as they are warm, would not be near their limit with the usual commands, and no more than those come,
+// as far as they are not tries again after our own refusals. A crash, a swap or a burst slows all answers too
+// and says nothing of the build.
 func (g *Gateway) compare(now int64) bool {
 	power := 0.0
 	for _, it := range g.instances {
@@ -771,7 +748,9 @@
 		}
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
-	return g.judge.busy*g.list.power < fleetRoom*power && g.work(now) >= workShared*g.judge.worked && float64(fresh) <= fleetUsual*g.judge.usual+2
+	j := &g.judge
+	return j.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*j.usual+2 &&
+		g.work(now) >= workShared*j.worked
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
@@ -825,8 +804,9 @@
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
 	slower := pair(ts, tl, bs, bl)
-	// Where machines tell how busy they are: a trial that does no more work for a command than the earlier build is
-	// not slow, it waits in queues. Guards against load, cold keys and bursts; no help where no such figure comes.
+	// Where machines tell how busy they are: a trial that does no more work for a command than the earlier build
+	// is not slow, it waits in queues. Guards against load, cold keys and bursts; no help where no such figure
+	// comes.
 	if w := j.work; w[1] > 0 && tt > 0 && bt > 0 && w[0]/tt < workLeast*w[1]/bt {
 		slower = min(slower, 0)
 	}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -129,7 +129,7 @@
 func (g *Gateway) ToldOnly(named map[*Instance]bool, now int64) {
 	for _, it := range g.instances {
 		if !named[it] {
-			it.ready = false
+			it.ready, it.here = false, false
 		}
 	}
 }
@@ -167,7 +167,8 @@
 	return fails[n/2], slows[n/2], n
 }
 
-// work is what a command costs warm machines now, by their own figures and our answers; 0 where they report none.
+// work is what a command costs warm machines now, by their own figures and our answers; 0 where they report
+// none.
 func (g *Gateway) work(now int64) float64 {
 	busy, acked := 0.0, 1.0
 	for _, it := range g.instances {
@@ -184,6 +185,41 @@
 	return g.cold.from + (1-g.cold.from)*max(0, min(1, float64(age)/float64(max(g.cold.warm, 1))))
 }
 
+// New makes a gateway from its seed, its number, how many there are, its zone and the shortest time between
+// two calls.
+func New(seed uint64, rank, peers, zone int, tick int64) *Gateway {
+	g := &Gateway{seed: seed, rank: rank, peers: max(peers, 1), zone: zone, tick: max(tick, ms)}
+	g.exposure.trial = map[int][]window{}
+	g.exposure.pinned = map[uint64]int{}
+	g.exposure.seen = map[uint64]int{}
+	g.exposure.build = -1
+	g.judge.heard = make([]*Totals, g.peers)
+	return g
+}
+
+// OpType adds one type of command.
+func (g *Gateway) OpType(target int64, stretch float64, timeout int64, importance, lateShare float64,
+	kind Kind, group Group, window int64) *OpType {
+	op := &OpType{number: len(g.ops), target: target, stretch: stretch, timeout: timeout,
+		importance: importance, lateShare: lateShare, kind: kind, group: group, window: window}
+	op.mean = meanStart * float64(target)
+	g.ops = append(g.ops, op)
+	return op
+}
+
+// model gives what is known of a kind of machine.
+func (g *Gateway) model(number int) *Model {
+	for len(g.models) <= number {
+		m := &Model{pace: 1}
+		for _, op := range g.ops {
+			m.level = append(m.level, meanStart*float64(op.target))
+			m.known = append(m.known, 0)
+		}
+		g.models = append(g.models, m)
+	}
+	return g.models[number]
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
--- a/choice/state.go
+++ b/choice/state.go
@@ -185,6 +185,7 @@
 type Instance struct {
 	listed    bool
 	ready     bool
+	here      bool // it runs or drains
 	build     int
 	zone      int
 	model     int
