--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,10 +39,10 @@
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
-	workLeast   = 1.5      // times the earlier build's work for a command: less is not slow
+	workMargin  = 1.4      // times the earlier build\'s work for a command that a good build may take
 	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
-	cellKinds   = 4        // counters in a cell: tries, failures, slow answers, slow ones expected (thousandths)
+	cellKinds   = 4        // counters in a cell: tries, failures, tries on warm machines, slow ones of them
 
 	// Health.
 	patience     = 6.0      // a delivery is overdue after this many mean times
@@ -302,7 +302,7 @@
 func (g *Gateway) recall(now int64) {
 	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
-		if it.ready && now-it.startedAt > warmSkip {
+		if it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)+s && !g.odd(it) {
 			g.judge.work[g.side(it.build >= g.judge.build)] += it.busy * g.power(it)
 		}
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
@@ -681,10 +681,11 @@
 	}
 	// Time-outs and deliveries that were called off tell of time, as late answers do: how many there are hangs
 	// on our own patience, and on load, which the margin allows for.
-	if m.known[op.number] < levelKnown || dl.chilly {
+	if dl.chilly {
 		return
 	}
-	if j.calm && m.before != nil {
+	known := m.known[op.number] >= levelKnown
+	if known && j.calm && m.before != nil {
 		fleet := j.own[len(j.own)-2:]
 		fleet[0]++
 		if time > m.before[op.number]*fleetMargin {
@@ -695,35 +696,24 @@
 		time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 	}
 	c[2]++
-	if time > m.level[op.number] {
+	if known && time > m.level[op.number] {
 		c[3]++
 	}
 }
 
-// fold closes a block of evidence. A machine that does far worse than the others of its build speaks of
-// itself, not of the build: its block is left out (guards against a crash, hang, slowness or fast errors of
-// single trial machines; it may delay the case against a build that ruins some machines before others).
-// Times: within a block both builds met the same load, so what one was to expect is its share of the slow
-// answers of both (guards against a baseline from a calmer or busier period).
+// fold adds what was seen since the last totals to them. A machine that does far worse than the others of its build
+// speaks of itself, not of the build: it is left out (guards against a crash, hang, slowness or fast errors of single
+// trial machines; it may delay the case against a build that ruins some machines before others).
 func (g *Gateway) fold() {
-	j := &g.judge
-	for _, op := range g.ops {
-		var sums [2][cellKinds]uint32
-		for _, it := range g.instances {
-			for k, n := range it.block[op.number] {
+	for _, it := range g.instances {
+		for i, op := range g.ops {
+			c := g.judge.own[g.cell(it.build >= g.judge.build, op):]
+			for k, n := range it.block[i] {
 				if !g.odd(it) {
-					sums[g.side(it.build >= j.build)][k] += n
+					c[k] += n
 				}
 			}
-			it.block[op.number] = [cellKinds]uint32{}
-		}
-		t, b := &sums[0], &sums[1]
-		ct, cb := j.own[g.cell(true, op):], j.own[g.cell(false, op):]
-		ct[0], ct[1], cb[0], cb[1] = ct[0]+t[0], ct[1]+t[1], cb[0]+b[0], cb[1]+b[1]
-		if t[2] > 0 && b[2] > 0 {
-			all := 1000 * (t[3] + b[3])
-			expect := uint32(float64(all) * float64(t[2]) / float64(t[2]+b[2]))
-			ct[2], ct[3], cb[2], cb[3] = ct[2]+t[3], ct[3]+expect, cb[2]+b[3], cb[3]+all-expect
+			it.block[i] = [cellKinds]uint32{}
 		}
 	}
 }
@@ -793,22 +783,23 @@
 			}
 		}
 	}
-	var tt, tf, bt, bf, ts, tl, bs, bl float64
+	var tt, tf, bt, bf, tw, ts, bw, bs float64
 	var logs []float64
 	for _, op := range g.ops {
 		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
 		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
-		ts, tl, bs, bl = ts+float64(t[2]), tl+float64(t[3])/1000, bs+float64(b[2]), bl+float64(b[3])/1000
+		tw, ts, bw, bs = tw+float64(t[2]), ts+float64(t[3]), bw+float64(b[2]), bs+float64(b[3])
 		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])))
 	}
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
-	slower := pair(ts, tl, bs, bl)
-	// Where machines tell how busy they are: a trial that does no more work for a command than the earlier build
-	// is not slow, it waits in queues. Guards against load, cold keys and bursts; no help where no such figure
-	// comes.
-	if w := j.work; w[1] > 0 && tt > 0 && bt > 0 && w[0]/tt < workLeast*w[1]/bt {
-		slower = min(slower, 0)
+	// Slowness: slow answers, or, where machines tell how busy they are, the work they do, counted in commands of
+	// the earlier build. Work tells a slow build from queues, which load, cold keys and bursts make as well.
+	slower := attempts(tw, ts, bw, bs)
+	if w := j.work; w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
+		rate := (done + bw) / (may + bw)
+		slower = pair(done, may*rate, bw, bw*rate)
 	}
 	logs = append(logs, attempts(tt, tf, bt, bf), slower,
 		attempts(since, slow, since, since*slowShare))
