--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,8 @@
 	slowMargin  = 1.25     // a trial answer is slow above this multiple of that level
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
-	fleetRoom   = 0.8      // of the machines busy before the build: above it, load decides the times
+	fleetMost   = 0.8      // of the usual power must be there
+	fleetRoom   = 0.7      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
@@ -739,7 +740,7 @@
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
 	j := &g.judge
-	return j.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*j.usual+2 &&
+	return power > fleetMost*g.list.power && j.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*j.usual+2 &&
 		g.work(now) >= workShared*j.worked
 }
 
@@ -848,7 +849,7 @@
 		return VoteNone
 	}
 	latest, all := g.latestStart()
-	if latest > 0 && now-latest >= onWait && (all || now-j.stageAt > unlistedFor) {
+	if latest > 0 && now-max(latest, j.stageAt) >= onWait && (all || now-j.stageAt > unlistedFor) {
 		return VoteOn
 	}
 	return VoteNone
