--- a/choice/choice.go
+++ b/choice/choice.go
@@ -510,7 +510,9 @@
 		if how == TimedOut && to.heardAt > dl.sentAt {
 			op.mean += 0.05 * (time - op.mean) // it was at work: learn from it as well as from those that made it
 		}
-		if how == Unconnected || how == Rejected || to.heardAt < dl.sentAt { // full, or draining unlisted
+		// Full, or draining unlisted, or its process died: each gateway sees the same crash, and as an odd machine
+		// it does not speak against its build seven times.
+		if how == Unconnected || how == Rejected || how == Broken || to.heardAt < dl.sentAt {
 			g.aside(to, now)
 		}
 	}
