--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
+	baseLeast   = 5        // one machine in so many of an earlier build is enough to compare times with
 	workMargin  = 1.4      // times the earlier build\'s work for a command that a good build may take
 	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
@@ -162,6 +163,9 @@
 	cmd.Open++
 	to.open = append(to.open, dl)
 	to.sent.add(now, max(g.cold.span, trialSpan))
+	if !dl.chilly && now >= g.judge.seenAt {
+		to.block[cmd.op.number][2]++ // at its sending: what it costs the machine shows before its outcome
+	}
 	if g.onTrial(to.build) {
 		w := g.trialWindow(to.build, cmd.op)
 		w.add(now, g.exposure.window)
@@ -303,8 +307,8 @@
 func (g *Gateway) recall(now int64) {
 	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
-		if it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)+s && !g.odd(it) {
-			g.judge.work[g.side(it.build >= g.judge.build)] += it.busy * g.power(it)
+		if it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)+s {
+			it.worked += it.busy * g.power(it)
 		}
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
 			power += g.power(it)
@@ -442,6 +446,9 @@
 	}
 	if how == Rejected || how == Unconnected || how == Unsent {
 		dl.mayRun = false
+		if c := &to.block[cmd.op.number][2]; !dl.chilly && dl.build == to.build && *c > 0 {
+			*c--
+		}
 	}
 	g.tend(dl, how, took, now)
 	g.witness(dl, how, took)
@@ -538,7 +545,7 @@
 		g.instances = append(g.instances, it)
 	}
 	if it.block == nil || build != it.build {
-		it.block = make([][cellKinds]uint32, len(g.ops))
+		g.retire(it)
 	}
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
 		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
@@ -554,7 +561,9 @@
 func (g *Gateway) ToldListEnd(cached bool, now int64) {
 	power, places, newest := 0.0, 0, 0
 	g.instances = slices.DeleteFunc(g.instances, func(it *Instance) bool {
-		it.listed = it.ready || it.here || len(it.open) > 0
+		if it.listed = it.ready || it.here || len(it.open) > 0; !it.listed {
+			g.retire(it)
+		}
 		return !it.listed
 	})
 	for _, it := range g.instances {
@@ -637,7 +646,10 @@
 		return // the build of the start is not on trial
 	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
-	j.work = [2]float64{}
+	j.pastWork, j.past, j.slower = [2]float64{}, make([]uint32, g.cells()-2), 0
+	for _, it := range g.instances {
+		it.block, it.worked = make([][cellKinds]uint32, len(g.ops)), 0
+	}
 	j.own = make([]uint32, g.cells())
 	for _, m := range g.models {
 		m.before = append([]float64(nil), m.level...)
@@ -698,25 +710,21 @@
 	if trial {
 		time /= slowMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 	}
-	c[2]++
 	if known && time > m.level[op.number] {
 		c[3]++
 	}
 }
 
-// fold adds what was seen since the last totals to them. A machine that does far worse than the others of its build
-// speaks of itself, not of the build: it is left out (guards against a crash, hang, slowness or fast errors of single
-// trial machines; it may delay the case against a build that ruins some machines before others).
+// fold sums the evidence over machines. One that does far worse than the others of its build speaks of itself, not of
+// the build: it is left out with all it did (guards against a crash, hang, slowness or fast errors of single trial
+// machines; it may delay the case against a build that ruins some machines before others).
 func (g *Gateway) fold() {
+	j := &g.judge
+	copy(j.own[:len(j.past)], j.past)
+	j.work = j.pastWork
 	for _, it := range g.instances {
-		for i, op := range g.ops {
-			c := g.judge.own[g.cell(it.build >= g.judge.build, op):]
-			for k, n := range it.block[i] {
-				if !g.odd(it) {
-					c[k] += n
-				}
-			}
-			it.block[i] = [cellKinds]uint32{}
+		if !g.odd(it) {
+			g.credit(it, j.own, &j.work)
 		}
 	}
 }
@@ -798,12 +806,16 @@
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
 	// Slowness: slow answers, or, where machines tell how busy they are, the work they do, counted in commands of
 	// the earlier build. Work tells a slow build from queues, which load, cold keys and bursts make as well.
+	// Only while there are earlier machines enough: after that the trial's times come from another period.
 	slower := attempts(tw, ts, bw, bs)
-	if w := j.work; w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+	if w := j.work; !g.baseLeft() {
+		slower = j.slower
+	} else if w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
 		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
 		rate := (done + bw) / (may + bw)
 		slower = pair(done, may*rate, bw, bw*rate)
 	}
+	j.slower = slower
 	logs = append(logs, attempts(tt, tf, bt, bf), slower,
 		attempts(since, slow, since, since*slowShare))
 	top, mean := logs[0], 0.0
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -220,6 +220,37 @@
 	return g.models[number]
 }
 
+// credit adds what a machine has shown to its build's evidence.
+func (g *Gateway) credit(it *Instance, cells []uint32, work *[2]float64) {
+	trial := it.build >= g.judge.build
+	work[g.side(trial)] += it.worked
+	for i, op := range g.ops {
+		for k, n := range it.block[i] {
+			cells[g.cell(trial, op)+k] += n
+		}
+	}
+}
+
+// retire keeps what a machine that leaves has shown, and starts it anew.
+func (g *Gateway) retire(it *Instance) {
+	if it.block != nil && g.judge.own != nil {
+		g.credit(it, g.judge.past, &g.judge.pastWork)
+	}
+	it.block, it.worked = make([][cellKinds]uint32, len(g.ops)), 0
+}
+
+// baseLeft tells whether enough of the ready machines run an earlier build.
+func (g *Gateway) baseLeft() bool {
+	left, all := 0, 0
+	for _, it := range g.instances {
+		if it.ready {
+			all++
+			left += g.side(it.build >= g.judge.build)
+		}
+	}
+	return left*baseLeast >= all
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
--- a/choice/state.go
+++ b/choice/state.go
@@ -204,7 +204,8 @@
 	strikes    int         // silent failures in a row
 	asideUntil int64
 	failing    float64             // smoothed share of errors
-	block      [][cellKinds]uint32 // evidence since the last totals, by op type
+	block      [][cellKinds]uint32 // its evidence, by op type
+	worked     float64             // busy time by its own figure
 	brokeAt    int64               // when it last broke off deliveries
 }
 
@@ -296,6 +297,9 @@
 
 	build    int // the build under judgement, 0 for none
 	own      []uint32
+	past     []uint32 // of it, what machines showed that have left
+	pastWork [2]float64
+	slower   float64    // the last product on slowness, in logarithms
 	calm     bool       // now can be held against the time before the build
 	turned   window     // commands that we gave up
 	work     [2]float64 // busy time by the machines' own figures: trial, earlier builds
