--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,7 +54,7 @@
 	failingAside = 0.3      // smoothed share of errors, beyond that of its build, that sets an instance aside
 	limitStart   = 12.0     // of our own deliveries that an instance may hold at first
 	limitMost    = 200.0
-	congested    = 0.45 // of the service target: an answer slower than this lowers the limit
+	congested    = 0.35 // of the service target: an answer slower than this lowers the limit
 	limitCut     = 0.85
 	limitGrow    = 0.15 // small, so that about one answer in ten may be congested and not one in two
 
