--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,10 +36,11 @@
 	slowAlone   = 0.4      // more margin, shared by the trial machines: one alone may be a slow machine
 	levelKnown  = 40       // answers that are enough
 	fleetMost   = 0.8      // of the usual power must be there
-	fleetRoom   = 0.7      // of the machines busy before the build: above it, load decides the times
+	fleetRoom   = 0.6      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
+	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
 	baseLeast   = 5        // one machine in so many of an earlier build is enough to compare times with
 	workMargin  = 1.4      // times the earlier build\'s work for a command that a good build may take
 	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
@@ -353,8 +354,7 @@
 	return trial, others, doubtful
 }
 
-// fewer draws two instances and takes the one with fewer of our own commands in flight for its size and
-// speed.
+// fewer draws two instances and takes the one with fewer of ours in flight for its size and speed.
 func (g *Gateway) fewer(some []*Instance, cmd *Command) *Instance {
 	n := len(some)
 	first := g.draw(n)
@@ -468,8 +468,7 @@
 	return g.Where(cmd, now)
 }
 
-// pin keeps a key that a build has answered from going to an earlier one, on trial and after its release
-// alike.
+// pin keeps a key that a build has answered from going to an earlier one, on trial and after a release.
 func (g *Gateway) pin(key uint64, build int) {
 	e := &g.exposure
 	stands := build > e.build || build == e.build && (e.phase == OnTrial || e.phase == Released)
@@ -614,6 +613,7 @@
 		e.pinning = 0
 	}
 	g.regard(build, now)
+	j.told = true
 }
 
 // ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the
@@ -639,13 +639,14 @@
 	}
 }
 
-// regard starts the judgement of a build when it is first heard of.
+// regard begins to judge a build when it is first heard of.
 func (g *Gateway) regard(build int, now int64) {
 	j := &g.judge
 	if g.exposure.build < 0 || build <= j.build || !g.onTrial(build) {
 		return // the build of the start is not on trial
 	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
+	j.whole = j.told
 	j.pastWork, j.past, j.slower = [2]float64{}, make([]uint32, g.cells()-2), 0
 	for _, it := range g.instances {
 		it.block, it.worked = make([][cellKinds]uint32, len(g.ops)), 0
@@ -783,12 +784,16 @@
 
 // evidence pools the totals of all gateways on the build and averages the products: an average of such
 // products keeps the level alpha, so a look at each op type and at slow answers is paid for by the average.
-func (g *Gateway) evidence() float64 {
+func (g *Gateway) evidence(now int64) float64 {
 	j := &g.judge
 	sum := make([]uint32, len(j.own))
 	copy(sum, j.own)
+	heard := 0
 	for _, t := range j.heard {
 		if t != nil && t.Build == j.build {
+			if now-t.At < totalsFresh {
+				heard++
+			}
 			for i, n := range t.Cells {
 				sum[i] += n
 			}
@@ -804,13 +809,14 @@
 	}
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
-	// Slowness: slow answers, or, where machines tell how busy they are, the work they do, counted in commands of
-	// the earlier build. Work tells a slow build from queues, which load, cold keys and bursts make as well.
-	// Only while there are earlier machines enough: after that the trial's times come from another period.
+	// Slowness: slow answers, or, where machines tell how busy they are, their work counted in commands of the
+	// earlier build: it tells a slow build from queues, which load, cold keys and bursts make as well.
+	// It stands still once few earlier machines are left, as the trial's times then come from another period, or
+	// while totals are missing. A gateway that started amid a trial has not seen the work that the totals tell of.
 	slower := attempts(tw, ts, bw, bs)
-	if w := j.work; !g.baseLeft() {
+	if w := j.work; !g.baseLeft() || 4*heard < 3*(g.peers-1) {
 		slower = j.slower
-	} else if w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+	} else if j.whole && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
 		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
 		rate := (done + bw) / (may + bw)
 		slower = pair(done, may*rate, bw, bw*rate)
@@ -850,7 +856,7 @@
 	if j.own == nil || e.build != j.build || e.phase == GoingBack || e.phase == TakenOff {
 		return VoteNone
 	}
-	level := g.evidence()
+	level := g.evidence(now)
 	if level >= math.Log(1/alpha) {
 		j.against = true
 	} else if j.control == ControlClock && level < math.Log(holdLevel) {
@@ -869,8 +875,7 @@
 	return VoteNone
 }
 
-// latestStart is the latest listed start of the build's machines, and whether the list shows all of the
-// stage's.
+// latestStart is the latest listed start of the build's machines, and whether all of the stage's are listed.
 func (g *Gateway) latestStart() (latest int64, all bool) {
 	e := &g.exposure
 	shown := 0
@@ -913,7 +918,7 @@
 	if now >= g.cold.learnAt {
 		g.cold.learnAt = now + 500*ms
 		g.recall(now)
-		if j.calm = j.own != nil && g.compare(now); j.own == nil {
+		if j.calm = j.own != nil && j.whole && g.compare(now); j.own == nil {
 			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
 			j.busy += 0.3 * (g.meanBusy() - j.busy)
 			j.worked += 0.3 * (g.work(now) - j.worked)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -171,3 +171,35 @@
 		t.Error("a key stayed pinned to a build that goes back")
 	}
 }
+
+// Hunted day ha18a08: a slow build's machines say that a command costs them more; queues, as on ib4b670, do not.
+// Incident i70baa1: a gateway that started amid the trial has not seen the work that its peers' totals tell of.
+func TestWorkTellsSlowBuilds(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		busy       float64
+		late, back bool
+	}{{"slow", 1, false, true}, {"more commands", 0.45, false, false}, {"started amid", 1, true, false}} {
+		w := newWorld(7, ControlAny)
+		w.list(8, 0, 1)
+		if !c.late {
+			w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+		}
+		w.run(4*s, 0)
+		w.g.ToldStage(2, 2, OnTrial, 1, 0, w.now)
+		w.list(4, w.now-20*s, 2)
+		for _, it := range w.instances {
+			w.g.ToldLoad(it, 0.3, w.now)
+			if it.build == 2 {
+				w.g.ToldLoad(it, c.busy, w.now)
+			}
+		}
+		w.run(6*s, 0)
+		for i := 1; i < 3; i++ { // the peers are heard
+			w.g.ToldTotals(&Totals{From: i, At: w.now, Build: 2, Cells: make([]uint32, w.g.cells())}, w.now)
+		}
+		if back := w.g.opinion(w.now) == VoteBack; back != c.back {
+			t.Errorf("%s: back is %v", c.name, back)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -299,6 +299,8 @@
 	own      []uint32
 	past     []uint32 // of it, what machines showed that have left
 	pastWork [2]float64
+	told     bool       // a stage has been told
+	whole    bool       // the gateway ran before the build was first heard of
 	slower   float64    // the last product on slowness, in logarithms
 	calm     bool       // now can be held against the time before the build
 	turned   window     // commands that we gave up
