--- a/choice/choice.go
+++ b/choice/choice.go
@@ -682,11 +682,13 @@
 		c[1]++
 		return
 	case Broken:
-		// The deliveries that one crash breaks are one failure, not many.
+		// The deliveries that one crash breaks are one failure, not many, and one among all gateways: by lot.
 		c[0]++
 		if dl.sentAt > dl.To.brokeAt {
-			c[1]++
 			dl.To.brokeAt = dl.sentAt + took
+			if g.draw(g.peers) == 0 {
+				c[1]++
+			}
 		}
 		return
 	case Acked:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -203,3 +203,30 @@
 		}
 	}
 }
+
+// Incident i1e3b86: every gateway sees the same crash; among them it counts about once.
+func TestCrashCountsOnceAmongGateways(t *testing.T) {
+	w := newWorld(8, ControlAny)
+	w.list(3, 0, 1)
+	w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+	w.g.ToldStage(2, 0, OnTrial, 1, 0, w.now)
+	const crashes = 90
+	for i := 0; i < crashes; i++ {
+		w.now += 6 * s
+		for n := 0; n < 4; n++ {
+			w.take(2, 0)
+		}
+		to := w.out[0].To
+		for _, dl := range append([]*Delivery(nil), to.open...) {
+			w.end(dl, Broken)
+		}
+		w.finish(0)
+	}
+	fails := 0
+	for _, it := range w.instances {
+		fails += int(it.block[2][1])
+	}
+	if fails < crashes/6 || fails > crashes/2 {
+		t.Errorf("%d crashes counted %d times by one of three gateways", crashes, fails)
+	}
+}
