--- a/choice/choice.go
+++ b/choice/choice.go
@@ -634,8 +634,8 @@
 
 // ToldWrong tells that a client judged an answer of an instance wrong.
 func (g *Gateway) ToldWrong(it *Instance, op *OpType, sentAt, now int64) {
-	if j := &g.judge; j.build > 0 && sentAt >= j.seenAt {
-		j.own[g.cell(it.build >= j.build, op)+1]++
+	if sentAt >= g.judge.seenAt {
+		it.block[op.number][1]++
 	}
 }
 
@@ -661,8 +661,7 @@
 // witness counts an outcome as evidence for or against its build.
 func (g *Gateway) witness(dl *Delivery, how Outcome, took int64) {
 	j, op := &g.judge, dl.Cmd.op
-	trial := dl.build >= j.build && j.own != nil
-	time, m := float64(took), g.model(dl.To.model)
+	trial, time, m := dl.build >= j.build && j.own != nil, float64(took), g.model(dl.To.model)
 	if how == Acked && !dl.cold && (!trial || g.exposure.phase == Released) {
 		gain := max(0.01, 1/(1+m.known[op.number]/4))
 		m.known[op.number]++
@@ -858,8 +857,7 @@
 	if j.own == nil || e.build != j.build || e.phase == GoingBack || e.phase == TakenOff {
 		return VoteNone
 	}
-	level := g.evidence(now)
-	if level >= math.Log(1/alpha) {
+	if level := g.evidence(now); level >= math.Log(1/alpha) {
 		j.against = true
 	} else if j.control == ControlClock && level < math.Log(holdLevel) {
 		j.against = false
