--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
 	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
+	failLeast   = 0.02     // of its tries: what a trial may fail beyond the earlier build's rate
 	baseLeast   = 5        // one machine in so many of an earlier build is enough to compare times with
 	workMargin  = 1.4      // times the earlier build\'s work for a command that a good build may take
 	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
@@ -119,9 +120,8 @@
 	if g.bound(cmd)-now <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
 		return g.giveUp(cmd, now)
 	}
-	// Trial first while the budget allows, then any other build; of two instances drawn, the one with less of
-	// ours.
-	// Where none may serve but those in doubt, one of them is better than none.
+	// Trial first while the budget allows, then any other build, then one in doubt rather than none; of two
+	// instances drawn, the one with less of ours.
 	trial, others, doubtful := g.candidates(cmd, now)
 	for _, some := range [][]*Instance{trial, others, doubtful} {
 		if len(some) > 0 {
@@ -131,8 +131,8 @@
 	return g.hold(cmd)
 }
 
-// bound is the moment after which an answer is not worth its work: the service target where a late answer
-// earns nothing, or little while others wait for room; else the client's patience.
+// bound is the moment after which an answer is not worth its work: the service target where a late one earns
+// nothing, or little while others wait for room; else the client's patience.
 func (g *Gateway) bound(cmd *Command) int64 {
 	if cmd.op.lateShare <= 0 || cmd.op.lateShare < lateWorthy && len(g.held) > 0 {
 		return cmd.target
@@ -140,8 +140,7 @@
 	return cmd.lastAnswer
 }
 
-// expected is the time a delivery of this command is expected to take. A command's first delivery is not
-// refused for a mean that trouble has inflated.
+// expected is the time a delivery is expected to take; a first one is not refused for an inflated mean.
 func (g *Gateway) expected(cmd *Command) float64 {
 	if len(cmd.Deliveries) == 0 {
 		return min(cmd.op.mean*1.3, float64(cmd.op.target)*0.85)
@@ -168,8 +167,7 @@
 		to.block[cmd.op.number][2]++ // at its sending: what it costs the machine shows before its outcome
 	}
 	if g.onTrial(to.build) {
-		w := g.trialWindow(to.build, cmd.op)
-		w.add(now, g.exposure.window)
+		g.trialWindow(to.build, cmd.op).add(now, g.exposure.window)
 	}
 	// It may stay out as long as the client waits: what we stop waiting for may go on working unseen, and a
 	// limit that does not count it lets a jam feed itself. Silent machines are found out by rescue instead.
@@ -780,6 +778,9 @@
 		return 0
 	}
 	rate := (trialFails + baseFails) / (trialTries + baseTries)
+	if trialFails <= trialTries*(baseFails/baseTries+failLeast) {
+		return 0 // so small a difference is not worth a way back: guards against a few failing machines
+	}
 	return pair(trialFails, trialTries*rate, baseFails, baseTries*rate)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -230,3 +230,13 @@
 		t.Errorf("%d crashes counted %d times by one of three gateways", crashes, fails)
 	}
 }
+
+// Incident i7a8a80: a few machines that fail fast are no ground to send back a build that serves all the rest.
+func TestFewFailuresSendNothingBack(t *testing.T) {
+	if e := attempts(4000, 16, 5000, 2); e > 0 {
+		t.Errorf("four in a thousand speak against a build with e^%v", e)
+	}
+	if e := attempts(4000, 200, 5000, 2); e < math.Log(1/alpha) {
+		t.Errorf("one in twenty speaks against a build with only e^%v", e)
+	}
+}
