--- a/choice/choice.go
+++ b/choice/choice.go
@@ -243,17 +243,6 @@
 	return build > e.build || build == e.build && e.phase != Released
 }
 
-func (g *Gateway) trialWindow(build int, op *OpType) *window {
-	e := &g.exposure
-	if e.trial[build] == nil {
-		e.trial[build] = make([]window, len(g.ops))
-	}
-	if e.byOp {
-		return &e.trial[build][op.number]
-	}
-	return &e.trial[build][0]
-}
-
 // exposed: the cap on a build on trial, the stages closed to effects, and keys that move forward only. A
 // lower cap is applied at once, to deliveries made before it as well: the grace is never used.
 func (g *Gateway) exposed(cmd *Command, to *Instance, now int64) bool {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -251,6 +251,18 @@
 	return left*baseLeast >= all
 }
 
+// trialWindow is where deliveries to a build on trial are counted, by op type where the cap is.
+func (g *Gateway) trialWindow(build int, op *OpType) *window {
+	e := &g.exposure
+	if e.trial[build] == nil {
+		e.trial[build] = make([]window, len(g.ops))
+	}
+	if e.byOp {
+		return &e.trial[build][op.number]
+	}
+	return &e.trial[build][0]
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
