--- a/choice/choice.go
+++ b/choice/choice.go
@@ -704,9 +704,10 @@
 	}
 }
 
-// fold sums the evidence over machines. One that does far worse than the others of its build speaks of itself, not of
-// the build: it is left out with all it did (guards against a crash, hang, slowness or fast errors of single trial
-// machines; it may delay the case against a build that ruins some machines before others).
+// fold sums the evidence over machines. One that does far worse than the others of its build speaks of
+// itself, not of the build: it is left out with all it did (guards against a crash, hang, slowness or fast
+// errors of single trial machines; it may delay the case against a build that ruins some machines before
+// others).
 func (g *Gateway) fold() {
 	j := &g.judge
 	copy(j.own[:len(j.past)], j.past)
@@ -739,8 +740,8 @@
 	}
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
 	j := &g.judge
-	return power > fleetMost*g.list.power && j.busy*g.list.power < fleetRoom*power && float64(fresh) <= fleetUsual*j.usual+2 &&
-		g.work(now) >= workShared*j.worked
+	return power > fleetMost*g.list.power && j.busy*g.list.power < fleetRoom*power &&
+		float64(fresh) <= fleetUsual*j.usual+2 && g.work(now) >= workShared*j.worked
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
@@ -801,9 +802,9 @@
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
 	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
 	// Slowness: slow answers, or, where machines tell how busy they are, their work counted in commands of the
-	// earlier build: it tells a slow build from queues, which load, cold keys and bursts make as well.
-	// It stands still once few earlier machines are left, as the trial's times then come from another period, or
-	// while totals are missing. A gateway that started amid a trial has not seen the work that the totals tell of.
+	// earlier build: it tells a slow build from queues, which load, cold keys and bursts make as well. It stands
+	// still once few earlier machines are left, as the trial's times then come from another period, or while
+	// totals are missing. A gateway that started amid a trial has not seen the work that the totals tell of.
 	slower := attempts(tw, ts, bw, bs)
 	if w := j.work; !g.baseLeft() || 4*heard < 3*(g.peers-1) {
 		slower = j.slower
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -172,8 +172,9 @@
 	}
 }
 
-// Hunted day ha18a08: a slow build's machines say that a command costs them more; queues, as on ib4b670, do not.
-// Incident i70baa1: a gateway that started amid the trial has not seen the work that its peers' totals tell of.
+// Hunted day ha18a08: a slow build's machines say that a command costs them more; queues, as on ib4b670, do
+// not. Incident i70baa1: a gateway that started amid the trial has not seen the work that its peers' totals
+// tell of.
 func TestWorkTellsSlowBuilds(t *testing.T) {
 	for _, c := range []struct {
 		name       string
@@ -231,7 +232,8 @@
 	}
 }
 
-// Incident i7a8a80: a few machines that fail fast are no ground to send back a build that serves all the rest.
+// Incident i7a8a80: a few machines that fail fast are no ground to send back a build that serves all the
+// rest.
 func TestFewFailuresSendNothingBack(t *testing.T) {
 	if e := attempts(4000, 16, 5000, 2); e > 0 {
 		t.Errorf("four in a thousand speak against a build with e^%v", e)
