--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,8 @@
 	fleetRoom   = 0.6      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
+	workFleet   = 2.5      // times what a command cost the fleet before: more is a build that slows all
+	fleetCells  = 4        // counters of the fleet: tries, slow ones, tries, their cost in those of before
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
 	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
 	failLeast   = 0.02     // of its tries: what a trial may fail beyond the earlier build's rate
@@ -180,9 +182,7 @@
 	if !cmd.held {
 		cmd.held = true
 		at := sort.Search(len(g.held), func(i int) bool { return g.held[i].weight <= cmd.weight })
-		g.held = append(g.held, nil)
-		copy(g.held[at+1:], g.held[at:])
-		g.held[at] = cmd
+		g.held = slices.Insert(g.held, at, cmd)
 	}
 	return Decision{Act: Hold}
 }
@@ -425,12 +425,7 @@
 	}
 	dl.Done = true
 	cmd.Open--
-	for i, o := range to.open {
-		if o == dl {
-			to.open = append(to.open[:i], to.open[i+1:]...)
-			break
-		}
-	}
+	to.open = slices.DeleteFunc(to.open, func(o *Delivery) bool { return o == dl })
 	if how == Rejected || how == Unconnected || how == Unsent {
 		dl.mayRun = false
 		if c := &to.block[cmd.op.number][2]; !dl.chilly && dl.build == to.build && *c > 0 {
@@ -586,8 +581,8 @@
 	if build != e.build || stage != e.stage || phase != e.phase {
 		j.stageAt = now - since
 		j.againAt = 0
-		if n := len(j.own); n > 0 && phase == OnTrial {
-			j.own[n-2], j.own[n-1] = 0, 0 // the fleet against before: what was clean at a smaller stage says little
+		if j.own != nil && phase == OnTrial {
+			clear(j.own[len(j.past):]) // the fleet against before: what was clean at a smaller stage says little
 		}
 	}
 	e.build, e.stage, e.phase, e.cap = build, stage, phase, most
@@ -634,7 +629,7 @@
 	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
 	j.whole = j.told
-	j.pastWork, j.past, j.slower = [2]float64{}, make([]uint32, g.cells()-2), 0
+	j.pastWork, j.past, j.slower = [2]float64{}, make([]uint32, g.cells()-fleetCells), 0
 	for _, it := range g.instances {
 		it.block, it.worked = make([][cellKinds]uint32, len(g.ops)), 0
 	}
@@ -690,7 +685,7 @@
 	}
 	known := m.known[op.number] >= levelKnown
 	if known && j.calm && m.before != nil {
-		fleet := j.own[len(j.own)-2:]
+		fleet := j.own[len(j.past):]
 		fleet[0]++
 		if time > m.before[op.number]*fleetMargin {
 			fleet[1]++
@@ -800,7 +795,10 @@
 		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])))
 	}
 	// The fleet since this stage against the fleet before the build, as if that had had the same exposure.
-	since, slow := float64(sum[len(sum)-2]), float64(sum[len(sum)-1])
+	// Its work is held against then as well, with a wide margin but whatever the load.
+	fleet := sum[len(j.past):]
+	since, slow, acked, done := float64(fleet[0]), float64(fleet[1]), float64(fleet[2]), float64(fleet[3])
+	rate := (done + acked) / max(1, acked*workFleet+acked)
 	// Slowness: slow answers, or, where machines tell how busy they are, their work counted in commands of the
 	// earlier build: it tells a slow build from queues, which load, cold keys and bursts make as well. It stands
 	// still once few earlier machines are left, as the trial's times then come from another period, or while
@@ -814,8 +812,8 @@
 		slower = pair(done, may*rate, bw, bw*rate)
 	}
 	j.slower = slower
-	logs = append(logs, attempts(tt, tf, bt, bf), slower,
-		attempts(since, slow, since, since*slowShare))
+	logs = append(logs, attempts(tt, tf, bt, bf), slower, attempts(since, slow, since, since*slowShare),
+		pair(done, acked*workFleet*rate, acked, acked*rate))
 	top, mean := logs[0], 0.0
 	for _, l := range logs {
 		top = max(top, l)
@@ -909,6 +907,10 @@
 	if now >= g.cold.learnAt {
 		g.cold.learnAt = now + 500*ms
 		g.recall(now)
+		if j.own != nil && j.whole && j.worked > 0 { // what commands cost the fleet, in those of before the build
+			n, fleet := float64(g.ackedSince(now-500*ms)), j.own[len(j.past)+2:]
+			fleet[0], fleet[1] = fleet[0]+uint32(n), fleet[1]+uint32(n*min(g.work(now)/j.worked, 10))
+		}
 		if j.calm = j.own != nil && j.whole && g.compare(now); j.own == nil {
 			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
 			j.busy += 0.3 * (g.meanBusy() - j.busy)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -242,3 +242,27 @@
 		t.Errorf("one in twenty speaks against a build with only e^%v", e)
 	}
 }
+
+// Incident i673f1d: under load, a build that slows all machines shows in the work that the fleet does for a
+// command.
+func TestFleetWorkTellsSharedSlowness(t *testing.T) {
+	for _, busy := range []float64{0.9, 0.3} {
+		w := newWorld(9, ControlAny)
+		w.list(8, 0, 1)
+		w.g.ToldStage(1, 0, Released, 1, 0, w.now)
+		w.run(s, 0)
+		for _, it := range w.instances {
+			w.g.ToldLoad(it, 0.25, w.now)
+		}
+		w.run(6*s, 0)
+		w.g.ToldStage(2, 1, OnTrial, 0.4, 0, w.now)
+		w.list(4, w.now-20*s, 2)
+		for _, it := range w.instances {
+			w.g.ToldLoad(it, busy, w.now)
+		}
+		w.run(4*s, 0)
+		if back := w.g.opinion(w.now) == VoteBack; back != (busy > 0.5) {
+			t.Errorf("all machines %v busy after 0.25: back is %v", busy, back)
+		}
+	}
+}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -80,7 +80,7 @@
 	return n
 }
 
-func (g *Gateway) cells() int { return 2*len(g.ops)*cellKinds + 2 }
+func (g *Gateway) cells() int { return 2*len(g.ops)*cellKinds + fleetCells }
 
 func (g *Gateway) cell(trial bool, op *OpType) int {
 	return (g.side(trial)*len(g.ops) + op.number) * cellKinds
@@ -263,6 +263,17 @@
 	return &e.trial[build][0]
 }
 
+// ackedSince counts the answers that ready machines gave us after a moment.
+func (g *Gateway) ackedSince(after int64) int {
+	n := 0
+	for _, it := range g.instances {
+		if it.ready {
+			n += it.acked.count(after)
+		}
+	}
+	return n
+}
+
 // mix hashes two numbers.
 func mix(a, b uint64) uint64 {
 	var text [16]byte
