--- a/choice/choice.go
+++ b/choice/choice.go
@@ -826,7 +826,7 @@
 
 // voters are drawn by hash of the build: three, or as many as the votes required.
 func (g *Gateway) voters(build int) []int {
-	n := min(g.peers, max(voterCount, g.judge.on, g.judge.back))
+	n := min(g.peers, max(voterCount, g.judge.on+1, g.judge.back+1)) // one may be cut off, stopped or late
 	if !g.judge.messages {
 		n = g.peers
 	}
