--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,7 @@
 	fleetRoom   = 0.6      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
-	workFleet   = 2.5      // times what a command cost the fleet before: more is a build that slows all
+	workFleet   = 2.0      // times what a command cost the fleet before: more is a build that slows all
 	fleetCells  = 4        // counters of the fleet: tries, slow ones, tries, their cost in those of before
 	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
 	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
