--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
 	workFleet   = 2.0      // times what a command cost the fleet before: more is a build that slows all
 	fleetCells  = 4        // counters of the fleet: tries, slow ones, tries, their cost in those of before
-	workShared  = 1.5      // times what a command cost the fleet before: less is no build that slows all
+	workShared  = 1.7      // times what a command cost the fleet before: less is no build that slows all
 	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
 	failLeast   = 0.02     // of its tries: what a trial may fail beyond the earlier build's rate
 	baseLeast   = 5        // one machine in so many of an earlier build is enough to compare times with
@@ -736,7 +736,7 @@
 	fresh := g.cold.taken.count(now-trialSpan) - g.judge.turned.count(now-trialSpan)
 	j := &g.judge
 	return power > fleetMost*g.list.power && j.busy*g.list.power < fleetRoom*power &&
-		float64(fresh) <= fleetUsual*j.usual+2 && g.work(now) >= workShared*j.worked
+		float64(fresh) <= fleetUsual*j.usual+2
 }
 
 // product is one build's factor of the paper's pair test, in logarithms:
@@ -812,7 +812,11 @@
 		slower = pair(done, may*rate, bw, bw*rate)
 	}
 	j.slower = slower
-	logs = append(logs, attempts(tt, tf, bt, bf), slower, attempts(since, slow, since, since*slowShare),
+	times := attempts(since, slow, since, since*slowShare)
+	if j.worked > 0 && done < workShared*acked {
+		times = min(times, 0) // late by queues, not by work
+	}
+	logs = append(logs, attempts(tt, tf, bt, bf), slower, times,
 		pair(done, acked*workFleet*rate, acked, acked*rate))
 	top, mean := logs[0], 0.0
 	for _, l := range logs {
