--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,8 @@
 	fleetRoom   = 0.6      // of the machines busy before the build: above it, load decides the times
 	fleetUsual  = 1.3      // times the usual commands: more than that is a burst
 	fleetMargin = 1.7      // all answers are slower than before the build above this multiple of the level then
+	busyFresh   = 2 * s    // a machine's figure is stale after this
+	blindMost   = 0.2      // of the figures may be stale where work is evidence
 	workFleet   = 2.0      // times what a command cost the fleet before: more is a build that slows all
 	fleetCells  = 4        // counters of the fleet: tries, slow ones, tries, their cost in those of before
 	workShared  = 1.7      // times what a command cost the fleet before: less is no build that slows all
@@ -297,6 +299,9 @@
 	for _, it := range g.instances {
 		if it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)+s {
 			it.worked += it.busy * g.power(it)
+			if g.judge.blind *= 0.98; now-it.toldAt > busyFresh { // seldom heard of: its figure says little
+				g.judge.blind += 0.02
+			}
 		}
 		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
 			power += g.power(it)
@@ -312,9 +317,7 @@
 }
 
 // candidates are the instances that may have this command. Those in doubt come in only where no other may
-// serve at all: with others merely full, a command waits, as a machine that fails fast is never full and
-// would draw everything. They get a delivery now and then; at-most-once commands never go where one is
-// overdue.
+// serve at all, and now and then: a machine that fails fast is never full and would draw everything.
 func (g *Gateway) candidates(cmd *Command, now int64) (trial, others, doubtful []*Instance) {
 	full := false
 	for _, it := range g.instances {
@@ -506,7 +509,7 @@
 	}
 }
 
-// aside leaves a machine alone for a time; after that it is on probation, one delivery at a time.
+// aside leaves a machine alone for a time, then on probation, one delivery at a time.
 func (g *Gateway) aside(to *Instance, now int64) {
 	to.strikes++
 	to.asideUntil = now + min(asideMost, asideFirst<<min(to.strikes-1, 5))
@@ -806,7 +809,7 @@
 	slower := attempts(tw, ts, bw, bs)
 	if w := j.work; !g.baseLeft() || 4*heard < 3*(g.peers-1) {
 		slower = j.slower
-	} else if j.whole && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+	} else if j.whole && j.blind < blindMost && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
 		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
 		rate := (done + bw) / (may + bw)
 		slower = pair(done, may*rate, bw, bw*rate)
@@ -976,10 +979,7 @@
 	if v.Verdict == VoteNone && j.vote.Verdict == VoteNone || j.waiting && now < j.votedAt+j.answerIn+s {
 		return
 	}
-	if v == j.vote && now < j.againAt {
-		return
-	}
-	if v.Verdict == VoteNone && e.phase != OnTrial {
+	if v == j.vote && now < j.againAt || v.Verdict == VoteNone && e.phase != OnTrial {
 		return
 	}
 	due.Votes = append(due.Votes, v)
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -94,7 +94,9 @@
 }
 
 // ToldLoad tells how busy an instance says it is.
-func (g *Gateway) ToldLoad(it *Instance, busy float64, now int64) { it.busy = busy }
+func (g *Gateway) ToldLoad(it *Instance, busy float64, now int64) {
+	it.busy, it.toldAt = busy, now
+}
 
 // ToldProbe tells how a probe ended.
 func (g *Gateway) ToldProbe(it *Instance, how Outcome, took, now int64) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -200,6 +200,7 @@
 	cutAt      int64       // when the limit was last cut
 	slow       float64     // smoothed time of its answers against the op types' means
 	busy       float64     // its own figure, where it reports one
+	toldAt     int64       // when that was told
 	heardAt    int64       // its last sign of life
 	strikes    int         // silent failures in a row
 	asideUntil int64
@@ -306,6 +307,7 @@
 	turned   window     // commands that we gave up
 	work     [2]float64 // busy time by the machines' own figures: trial, earlier builds
 	worked   float64    // what a command cost the machines before the build
+	blind    float64    // smoothed share of machines whose figure is stale
 	busy     float64    // the machines' own figure before the build
 	usual    float64    // our commands within a trial span before the build
 	heard    []*Totals  // each sender's latest, by number
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -166,6 +166,9 @@
 	}
 	for end := w.now + span; w.now < end; w.now += 5 * ms {
 		w.take(0, 0)
+		for _, it := range w.instances {
+			w.g.ToldLoad(it, it.busy, w.now)
+		}
 		for _, dl := range append([]*Delivery(nil), w.out...) {
 			if now := w.now; now-dl.sentAt >= int64(20+w.draw(60))*ms {
 				if sick[dl.To] && w.draw(3) > 0 {
