--- a/choice/choice.go
+++ b/choice/choice.go
@@ -807,9 +807,11 @@
 	// still once few earlier machines are left, as the trial's times then come from another period, or while
 	// totals are missing. A gateway that started amid a trial has not seen the work that the totals tell of.
 	slower := attempts(tw, ts, bw, bs)
-	if w := j.work; !g.baseLeft() || 4*heard < 3*(g.peers-1) {
+	if w := j.work; w[1] == 0 {
+		// No machine tells how busy it is: slow answers it is.
+	} else if !g.baseLeft() || 4*heard < 3*(g.peers-1) {
 		slower = j.slower
-	} else if j.whole && j.blind < blindMost && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+	} else if slower = min(slower, 0); j.whole && j.blind < blindMost && w[0] > 0 && tw > 0 && bw > 0 {
 		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
 		rate := (done + bw) / (may + bw)
 		slower = pair(done, may*rate, bw, bw*rate)
