--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,7 @@
 
 // Take books a command that came with the time its client still waits.
 func (g *Gateway) Take(op *OpType, tenant *Tenant, key uint64, work, left, now int64) *Command {
-	cmd := &Command{op: op, tenant: tenant, key: key, takenAt: now, lastAnswer: now + left}
+	cmd := &Command{op: op, key: key, lastAnswer: now + left}
 	cmd.target = min(now+op.target+int64(op.stretch*float64(work)), cmd.lastAnswer)
 	cmd.weight = op.importance / float64(max(op.target, ms))
 	if tenant != nil && g.overShare(tenant, now) {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -10,15 +10,15 @@
 // here.
 
 // Bound tells what is permitted of deliveries.
-func (g *Gateway) Bound(deliveries int, copies, cancel, probes, advice bool, comeBack int64) {
-	g.limits = limits{deliveries: deliveries, copies: copies, cancel: cancel, probes: probes}
+func (g *Gateway) Bound(deliveries int, cancel, advice bool, comeBack int64) {
+	g.limits = limits{deliveries: deliveries, cancel: cancel}
 	if advice {
 		g.limits.comeBack = comeBack
 	}
 }
 
-// Price tells what crossing zones and wasted work cost.
-func (g *Gateway) Price(cross, waste float64) { g.limits.cross, g.limits.waste = cross, waste }
+// Price tells what crossing zones costs.
+func (g *Gateway) Price(cross float64) { g.limits.cross = cross }
 
 // Chill tells how instances warm up and what pushes a cold one over.
 func (g *Gateway) Chill(from float64, warm int64, multiple float64, span int64) {
@@ -26,9 +26,7 @@
 }
 
 // Follow tells whether the list must be asked for its changes.
-func (g *Gateway) Follow(mustAsk bool, within int64) {
-	g.list.mustAsk, g.list.within, g.list.due = mustAsk, within, mustAsk
-}
+func (g *Gateway) Follow(mustAsk bool) { g.list.mustAsk, g.list.due = mustAsk, mustAsk }
 
 // Expose tells how deliveries to a build on trial are bounded.
 func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool,
@@ -38,11 +36,11 @@
 }
 
 // Judge tells how votes move builds.
-func (g *Gateway) Judge(control Control, on, back int, shares []float64, bake, life, answerIn int64,
-	rate float64, messages bool) {
+func (g *Gateway) Judge(control Control, on, back int, shares []float64, life, answerIn int64,
+	messages bool) {
 	j := &g.judge
-	j.control, j.on, j.back, j.shares, j.bake, j.life = control, on, back, shares, bake, life
-	j.answerIn, j.rate, j.messages = answerIn, rate, messages && g.peers > 1
+	j.control, j.on, j.back, j.shares, j.life = control, on, back, shares, life
+	j.answerIn, j.messages = answerIn, messages && g.peers > 1
 }
 
 func (g *Gateway) unhold(cmd *Command) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,9 +141,7 @@
 	Ended      bool // its final answer is given
 
 	op         *OpType
-	tenant     *Tenant
 	key        uint64
-	takenAt    int64
 	target     int64 // the moment by which its answer is worth the whole
 	lastAnswer int64 // the moment at which the client gives up
 	weight     float64
@@ -234,12 +232,9 @@
 // limits is what this deployment permits of deliveries.
 type limits struct {
 	deliveries int
-	copies     bool
 	cancel     bool
-	probes     bool
 	comeBack   int64 // the longest advice a client honours, 0 where it gets none
 	cross      float64
-	waste      float64
 }
 
 // exposure bounds deliveries to a build on trial.
@@ -277,7 +272,6 @@
 // list follows the list of instances.
 type list struct {
 	mustAsk bool
-	within  int64
 	due     bool
 	askAt   int64
 	tries   int
@@ -290,10 +284,8 @@
 	control  Control
 	on, back int
 	shares   []float64
-	bake     int64
 	life     int64
 	answerIn int64
-	rate     float64
 	messages bool
 
 	build    int // the build under judgement, 0 for none
