--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,7 @@
 	warmSkip    = 3 * s    // outcomes of an instance this young are no evidence
 	onWait      = 3 * s    // 'on' comes this long after the stage's latest listed start
 	poolEvery   = 500 * ms // running totals go out this often
-	voterCount  = 3        // voters hashed by build, or as many as votes are required
+	voterCount  = 3        // voters hashed by build, or one more than votes are required
 	holdLevel   = 4.0      // under a clock a back vote is kept while the product stays above this
 	unlistedFor = 12 * s   // by then a stage is judged by the machines that the list shows
 	slowShare   = 0.2      // of the earlier build's answers lie above its learned level
@@ -47,7 +47,7 @@
 	totalsFresh = 3 * s    // a peer that sent no totals for this long is not heard
 	failLeast   = 0.02     // of its tries: what a trial may fail beyond the earlier build's rate
 	baseLeast   = 5        // one machine in so many of an earlier build is enough to compare times with
-	workMargin  = 1.4      // times the earlier build\'s work for a command that a good build may take
+	workMargin  = 1.4      // times the earlier build's work for a command that a good build may take
 	meanStart   = 0.25     // of the service target: taken for a mean time before there is one
 	oddSlow     = 2.5      // times the others' pace: a machine this slow speaks of itself
 	cellKinds   = 4        // counters in a cell: tries, failures, tries on warm machines, slow ones of them
@@ -195,16 +195,11 @@
 	g.unhold(cmd)
 	cmd.Ended = true
 	g.judge.turned.add(now, trialSpan)
-	nack := cmd.op.kind == Redeliverable || cmd.op.kind == Deduplicated && cmd.op.group == GroupAll
-	if !nack {
-		nack = true
-		for _, dl := range cmd.Deliveries {
-			nack = nack && !dl.mayRun
+	for _, dl := range cmd.Deliveries {
+		if dl.mayRun && !cmd.op.repeats() {
+			return Decision{Act: Fail}
 		}
 	}
-	if !nack {
-		return Decision{Act: Fail}
-	}
 	after := int64(cmd.op.mean)
 	if len(g.held) > 0 {
 		after = g.limits.comeBack // others wait already
@@ -212,6 +207,11 @@
 	return Decision{Act: Nack, After: min(g.limits.comeBack, after)}
 }
 
+// repeats tells whether a repeat does no harm at any instance, for a deduplicated command within its window.
+func (op *OpType) repeats() bool {
+	return op.kind == Redeliverable || op.kind == Deduplicated && op.group == GroupAll
+}
+
 // allowed checks the rules for one delivery, each on this gateway's own knowledge.
 func (g *Gateway) allowed(cmd *Command, to *Instance, now int64) bool {
 	if cmd.Ended || now >= cmd.lastAnswer || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
@@ -293,7 +293,8 @@
 
 // recall learns what warm machines usually answer us for their power within the cold span. Answers are
 // bounded by what machines can do; what is asked or sent is not, where clients retry or machines fail fast.
-// While most of the fleet is cold or gone, what it did before stands.
+// While most of the fleet is cold or gone, what it did before stands. It also keeps what the judging holds
+// the fleet against.
 func (g *Gateway) recall(now int64) {
 	power, acked := 0.0, 0.0
 	for _, it := range g.instances {
@@ -314,15 +315,26 @@
 		}
 		g.cold.usual += 0.15 * (acked/power - g.cold.usual)
 	}
+	j := &g.judge
+	if j.own != nil && j.whole && j.worked > 0 { // what commands cost the fleet, in those of before the build
+		n, fleet := float64(g.ackedSince(now-500*ms)), j.own[len(j.past)+2:]
+		fleet[0], fleet[1] = fleet[0]+uint32(n), fleet[1]+uint32(n*min(g.work(now)/j.worked, 10))
+	}
+	if j.calm = j.own != nil && j.whole && g.compare(now); j.own == nil {
+		j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
+		j.busy += 0.3 * (g.meanBusy() - j.busy)
+		j.worked += 0.3 * (g.work(now) - j.worked)
+	}
 }
 
 // candidates are the instances that may have this command. Those in doubt come in only where no other may
 // serve at all, and now and then: a machine that fails fast is never full and would draw everything.
 func (g *Gateway) candidates(cmd *Command, now int64) (trial, others, doubtful []*Instance) {
-	full := false
+	full, pin := false, g.mayPin(cmd)
+	open, power := g.openElsewhere()
 	for _, it := range g.instances {
 		on := g.onTrial(it.build)
-		if on && !(g.mayPin(cmd) && g.headroom(it, now)) || !g.allowed(cmd, it, now) {
+		if on && !(pin && g.headroom(it, open, power, now)) || !g.allowed(cmd, it, now) {
 			continue
 		}
 		room := float64(len(it.open)) < it.limit
@@ -357,7 +369,7 @@
 
 // headroom: a trial instance gets little more than its size's share of our commands, even where the cap
 // allows more: a machine that is slow because it is overloaded would speak against its build.
-func (g *Gateway) headroom(it *Instance, now int64) bool {
+func (g *Gateway) headroom(it *Instance, open, power float64, now int64) bool {
 	push := trialPush
 	if e := &g.exposure; e.stage < len(g.judge.shares) && g.judge.shares[e.stage] > trialLate {
 		push = trialMost // by then there is evidence, and what the earlier build still serves is the larger price
@@ -366,14 +378,7 @@
 		return false
 	}
 	// Nor a burst when it is first listed: it holds no more of ours than the others for their power.
-	open, power := 0, 0.0
-	for _, o := range g.instances {
-		if o.ready && !g.onTrial(o.build) {
-			open += len(o.open)
-			power += g.power(o)
-		}
-	}
-	return power == 0 || float64(len(it.open)) < 1+push*float64(open)/power*g.power(it)
+	return power == 0 || float64(len(it.open)) < 1+push*open/power*g.power(it)
 }
 
 // burden is what decides between two instances: our own in flight there.
@@ -630,12 +635,12 @@
 	if g.exposure.build < 0 || build <= j.build || !g.onTrial(build) {
 		return // the build of the start is not on trial
 	}
+	for _, it := range g.instances {
+		g.retire(it)
+	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
 	j.whole = j.told
 	j.pastWork, j.past, j.slower = [2]float64{}, make([]uint32, g.cells()-fleetCells), 0
-	for _, it := range g.instances {
-		it.block, it.worked = make([][cellKinds]uint32, len(g.ops)), 0
-	}
 	j.own = make([]uint32, g.cells())
 	for _, m := range g.models {
 		m.before = append([]float64(nil), m.level...)
@@ -760,18 +765,24 @@
 	return e
 }
 
-// attempts gives the pair's product where L is attempts times the joint failure rate. No attempts give 1.
-func attempts(trialTries, trialFails, baseTries, baseFails float64) float64 {
+// joint gives the pair's product where L is attempts times the joint failure rate. No attempts give 1.
+func joint(trialTries, trialFails, baseTries, baseFails float64) float64 {
 	if trialTries == 0 || baseTries == 0 {
 		return 0
 	}
 	rate := (trialFails + baseFails) / (trialTries + baseTries)
-	if trialFails <= trialTries*(baseFails/baseTries+failLeast) {
-		return 0 // so small a difference is not worth a way back: guards against a few failing machines
-	}
 	return pair(trialFails, trialTries*rate, baseFails, baseTries*rate)
 }
 
+// attempts is joint where the trial fails enough more: so small a difference is not worth a way back (guards
+// against a few failing machines).
+func attempts(trialTries, trialFails, baseTries, baseFails float64) float64 {
+	if baseTries == 0 || trialFails <= trialTries*(baseFails/baseTries+failLeast) {
+		return 0
+	}
+	return joint(trialTries, trialFails, baseTries, baseFails)
+}
+
 // evidence pools the totals of all gateways on the build and averages the products: an average of such
 // products keeps the level alpha, so a look at each op type and at slow answers is paid for by the average.
 func (g *Gateway) evidence(now int64) float64 {
@@ -801,7 +812,6 @@
 	// Its work is held against then as well, with a wide margin but whatever the load.
 	fleet := sum[len(j.past):]
 	since, slow, acked, done := float64(fleet[0]), float64(fleet[1]), float64(fleet[2]), float64(fleet[3])
-	rate := (done + acked) / max(1, acked*workFleet+acked)
 	// Slowness: slow answers, or, where machines tell how busy they are, their work counted in commands of the
 	// earlier build: it tells a slow build from queues, which load, cold keys and bursts make as well. It stands
 	// still once few earlier machines are left, as the trial's times then come from another period, or while
@@ -812,9 +822,8 @@
 	} else if !g.baseLeft() || 4*heard < 3*(g.peers-1) {
 		slower = j.slower
 	} else if slower = min(slower, 0); j.whole && j.blind < blindMost && w[0] > 0 && tw > 0 && bw > 0 {
-		done, may := w[0]*bw/w[1], tw*workMargin*(1+slowAlone/float64(max(1, g.trialMachines())))
-		rate := (done + bw) / (may + bw)
-		slower = pair(done, may*rate, bw, bw*rate)
+		may := tw * workMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
+		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
 	j.slower = slower
 	times := attempts(since, slow, since, since*slowShare)
@@ -822,7 +831,7 @@
 		times = min(times, 0) // late by queues, not by work
 	}
 	logs = append(logs, attempts(tt, tf, bt, bf), slower, times,
-		pair(done, acked*workFleet*rate, acked, acked*rate))
+		joint(acked*workFleet, done, acked, acked))
 	top, mean := logs[0], 0.0
 	for _, l := range logs {
 		top = max(top, l)
@@ -833,7 +842,7 @@
 	return top + math.Log(mean)
 }
 
-// voters are drawn by hash of the build: three, or as many as the votes required.
+// voters are drawn by hash of the build: three, or one more than the votes required.
 func (g *Gateway) voters(build int) []int {
 	n := min(g.peers, max(voterCount, g.judge.on+1, g.judge.back+1)) // one may be cut off, stopped or late
 	if !g.judge.messages {
@@ -916,22 +925,10 @@
 	if now >= g.cold.learnAt {
 		g.cold.learnAt = now + 500*ms
 		g.recall(now)
-		if j.own != nil && j.whole && j.worked > 0 { // what commands cost the fleet, in those of before the build
-			n, fleet := float64(g.ackedSince(now-500*ms)), j.own[len(j.past)+2:]
-			fleet[0], fleet[1] = fleet[0]+uint32(n), fleet[1]+uint32(n*min(g.work(now)/j.worked, 10))
-		}
-		if j.calm = j.own != nil && j.whole && g.compare(now); j.own == nil {
-			j.usual += 0.3 * (float64(g.cold.taken.count(now-trialSpan)) - j.usual)
-			j.busy += 0.3 * (g.meanBusy() - j.busy)
-			j.worked += 0.3 * (g.work(now) - j.worked)
-		}
 	}
 	if j.own != nil {
-		voters, voting := g.voters(j.build), false
-		for _, v := range voters {
-			voting = voting || v == g.rank
-		}
 		if now >= j.totalsAt {
+			voters := g.voters(j.build)
 			g.fold()
 			j.totalsAt = now + poolEvery
 			if j.messages {
@@ -942,7 +939,7 @@
 					}
 				}
 			}
-			if voting {
+			if slices.Contains(voters, g.rank) {
 				g.vote(now, &due)
 			}
 		}
@@ -963,8 +960,7 @@
 	}
 	for _, dl := range it.open {
 		cmd := dl.Cmd
-		again := cmd.op.kind == Redeliverable || cmd.op.kind == Deduplicated && cmd.op.group == GroupAll &&
-			now+g.tick < dl.sentAt+cmd.op.window
+		again := cmd.op.repeats() && (cmd.op.kind == Redeliverable || now+g.tick < dl.sentAt+cmd.op.window)
 		if again && !dl.called && !cmd.Ended && len(cmd.Deliveries) < g.limits.deliveries &&
 			now >= g.overdueAt(dl) && cmd.lastAnswer-now > int64(cmd.op.mean) {
 			dl.called = true
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -263,6 +263,17 @@
 	return &e.trial[build][0]
 }
 
+// openElsewhere is what machines not on trial hold of ours, and their power.
+func (g *Gateway) openElsewhere() (open, power float64) {
+	for _, it := range g.instances {
+		if it.ready && !g.onTrial(it.build) {
+			open += float64(len(it.open))
+			power += g.power(it)
+		}
+	}
+	return open, power
+}
+
 // ackedSince counts the answers that ready machines gave us after a moment.
 func (g *Gateway) ackedSince(after int64) int {
 	n := 0
