--- /dev/null
+++ b/cmd/laurelring/main.go
@@ -0,0 +1,157 @@
+// Command laurelring is one gateway on real sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"laurelring/choice"
+	"laurelring/internal/protocol"
+	"laurelring/internal/routing"
+	"laurelring/internal/transport"
+)
+
+const (
+	servesOn    = 700 * time.Millisecond // after SIGTERM: clients may still connect for 0.4 s
+	endsWithin  = 2 * time.Second        // after the longest time that a client waits
+	memoryShare = 0.7                    // of the limit: where the runtime begins to collect in earnest
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "laurelring:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	path := os.Getenv("RELAY_CONFIG")
+	if path == "" {
+		return fmt.Errorf("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	l, err := protocol.ReadLaunch(text)
+	if err != nil {
+		return err
+	}
+	name, listen, discoveryAt, deskAt := l.Name(), l.Listen(), l.Discovery(), l.Desk()
+	seed, known, news := l.Seed(), l.Known(), l.News()
+	cores, memory, descriptors := l.Limits()
+	peersAt, each, all := l.Peers()
+	if l.Err() != nil {
+		return l.Err()
+	}
+	f, err := protocol.ReadSettings(l.Settings())
+	if err != nil {
+		return err
+	}
+	gateway, ops, _ := f.Gateway(seed)
+	named := map[string]*choice.OpType{}
+	for i, one := range f.OpNames() {
+		named[one] = ops[i]
+	}
+	zones, models := f.Zones(), f.Models()
+	busy, _ := f.Busy()
+	connectWithin, idleFor := time.Duration(f.ConnectWithin()), time.Duration(f.IdleFor())
+	voteWithin, askWithin, longest := time.Duration(f.VoteWithin()), time.Duration(f.AskWithin()), f.Longest()
+	if f.Err() != nil {
+		return f.Err()
+	}
+	revision, _, err := protocol.List(known, zones, models, nil)
+	if err != nil {
+		return fmt.Errorf(`field "known": %w`, err)
+	}
+
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", name)
+	slog.SetDefault(log)
+	runtime.GOMAXPROCS(int(math.Ceil(cores)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+
+	begun := time.Now()
+	clock := func() int64 { return begun.UnixNano() + int64(time.Since(begun)) }
+	budget := transport.NewBudget(descriptors)
+	instances := transport.NewInstances(budget, connectWithin, idleFor/2)
+	post := func(int, []byte) {}
+	var peers *transport.Peers
+	if peersAt != "" {
+		if peers, err = transport.NewPeers(peersAt, each, all); err != nil {
+			return err
+		}
+		post = peers.Post
+	}
+	var discovery *transport.Discovery
+	var desk *transport.Desk
+	r := routing.New(gateway, busy, clock, routing.Outside{
+		Send: func(address string, until time.Time, words func(int64) []byte,
+			ended func(choice.Outcome, []byte, []byte)) routing.Delivery {
+			return instances.Send(address, until, words, ended)
+		},
+		Drop:  instances.Drop,
+		Post:  post,
+		Vote:  func(v choice.Vote) { desk.Vote(v) },
+		Watch: func() { discovery.Watch(ctx) },
+	})
+	desk = transport.NewDesk(deskAt, voteWithin, r.News, r.Voted, func(up bool, why error) {
+		if up {
+			log.Info("the platform is heard", "address", deskAt)
+		} else {
+			log.Warn("the platform is lost", "address", deskAt, "cause", why)
+		}
+	})
+	if err := protocol.News(news, r.News); err != nil {
+		return fmt.Errorf(`field "pipeline.news": %w`, err)
+	}
+	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte) (int64, error) {
+		return r.Listed(text, zones, models, false)
+	}, r.ListFailed)
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	front := transport.NewFront(budget, named,
+		func(op *choice.OpType, key uint64, left int64, again func(int64) []byte, to *transport.Answer) {
+			r.Command(op, key, left, again, to)
+		}, func(to *transport.Answer) { r.Gone(to) })
+	go r.Run(ctx)
+	if _, err := r.Listed(known, zones, models, true); err != nil {
+		return err
+	}
+	go desk.Run(ctx)
+	if peers != nil {
+		go peers.Run(r.Heard)
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- front.Serve(ln) }()
+	log.Info("serving", "address", listen, "memory", memory, "descriptors", descriptors)
+	select {
+	case err := <-failed:
+		return err
+	case got := <-ended:
+		log.Info("ending", "signal", got.String())
+	}
+	time.Sleep(servesOn)
+	front.Drain()
+	select {
+	case <-r.Drain():
+	case <-time.After(time.Duration(longest) + endsWithin):
+	}
+	front.Rest()
+	log.Info("ended")
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/command.go
@@ -0,0 +1,190 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/redcon"
+
+	"laurelring/choice"
+)
+
+const (
+	argsMost   = 8           // words of a command
+	skipMost   = 64 << 20    // a larger word is not skipped: the connection is closed
+	inlineMost = 512         // a command typed as a line
+	marginMost = 8 * 1 << 10 // of a command, beside its value
+)
+
+// CommandMost is what a buffer needs to hold one command.
+const CommandMost = ValueMost + marginMost
+
+// What stands in for a command that cannot be passed on, so that it is answered in its turn.
+var (
+	TooLarge = []byte("*1\r\n$9\r\nTOO.LARGE\r\n")
+	BadFrame = []byte("*1\r\n$9\r\nBAD.FRAME\r\n")
+)
+
+var errFraming = errors.New("framing is lost")
+
+// Commands finds the whole commands in what clients send, and keeps from the parser behind it what that
+// could not bear: it trusts lengths, and keeps a word of any size in memory.
+type Commands struct {
+	at    int  // bytes of the present command that are understood
+	words int  // of it still to come
+	begun bool // its head has been read
+	large bool // it is too large, and only skipped
+	skip  int  // bytes to skip
+}
+
+// Next gives the size of the whole command that the buffer begins with, 0 if there is none yet. One that is
+// too large has been taken out of the buffer by then. An error says that the framing is lost.
+func (c *Commands) Next(b *Buffer) (size int, large bool, err error) {
+	for {
+		if c.skip > 0 {
+			n := min(c.skip, len(b.Bytes()))
+			b.Drop(n)
+			if c.skip -= n; c.skip > 0 {
+				return 0, false, nil
+			}
+		}
+		if c.begun && c.words == 0 {
+			size, large = c.at, c.large
+			*c = Commands{}
+			return size, large, nil
+		}
+		rest := b.Bytes()[c.at:]
+		if len(rest) == 0 {
+			return 0, false, nil
+		}
+		if !c.begun && rest[0] != '*' {
+			return c.inline(b)
+		}
+		end := bytes.IndexByte(rest[:min(len(rest), headMost)], '\n')
+		if end < 0 {
+			if len(rest) >= headMost {
+				return 0, false, errFraming
+			}
+			return 0, false, nil
+		}
+		if end < 3 || rest[end-1] != '\r' {
+			return 0, false, errFraming
+		}
+		n, err := strconv.Atoi(string(rest[1 : end-1]))
+		if err != nil || n < 0 {
+			return 0, false, errFraming
+		}
+		switch {
+		case !c.begun && (n < 1 || n > argsMost):
+			return 0, false, errFraming
+		case !c.begun:
+			c.begun, c.words, c.at = true, n, c.at+end+1
+		case rest[0] != '$' || n > skipMost:
+			return 0, false, errFraming
+		default:
+			whole := end + 1 + n + 2
+			if c.large || c.at+whole > CommandMost || n > ValueMost {
+				b.Drop(c.at)
+				c.large, c.at, c.skip = true, 0, whole
+			} else if len(rest) < whole {
+				return 0, false, nil
+			} else if rest[whole-2] != '\r' || rest[whole-1] != '\n' {
+				return 0, false, errFraming
+			} else {
+				c.at += whole
+			}
+			c.words--
+		}
+	}
+}
+
+// inline passes on a command typed as a plain line.
+func (c *Commands) inline(b *Buffer) (int, bool, error) {
+	data := b.Bytes()
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 && len(data) < inlineMost {
+		return 0, false, nil
+	}
+	if end < 0 || end >= inlineMost || bytes.ContainsAny(data[:end], "\"'\\") {
+		return 0, false, errFraming
+	}
+	return end + 1, false, nil
+}
+
+// Decode reads a client's command: its op type, its key as a number, how long the client waits, and how the
+// command is worded for an instance that is told how long the gateway will wait.
+func Decode(args [][]byte, ops map[string]*choice.OpType) (op *choice.OpType, key uint64, left int64,
+	again func(within int64) []byte, err error) {
+	most := 4
+	if string(args[0]) == "API.WRITE" {
+		most = 5
+	}
+	if len(args) != most {
+		return nil, 0, 0, nil, fmt.Errorf("wrong number of words for %s", args[0])
+	}
+	var before, after strings.Builder // what stands around the time in the list of names and values
+	into := &before
+	for i, one := range strings.Split(string(args[3]), ",") {
+		if i > 0 {
+			into.WriteByte(',')
+		}
+		name, value, _ := strings.Cut(one, "=")
+		switch name {
+		case "c":
+			if op = ops[value]; op == nil {
+				return nil, 0, 0, nil, errors.New("unknown op type")
+			}
+		case "d":
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(ms > 0) || into == &after {
+				return nil, 0, 0, nil, errors.New("d is no time")
+			}
+			left = asNs(ms)
+			into.WriteString("d=")
+			into = &after
+			continue
+		}
+		into.WriteString(one)
+	}
+	if op == nil || into == &before {
+		return nil, 0, 0, nil, errors.New("c or d is missing")
+	}
+	if len(args[1]) > 0 {
+		h := fnv.New64a()
+		h.Write(args[1])
+		key = max(h.Sum64(), 1)
+	}
+	again = func(within int64) []byte {
+		list := before.String() + strconv.FormatInt(max(1, within/1e6), 10) + after.String()
+		b := make([]byte, 0, 64+len(args[1])+len(args[2])+len(list)+len(args[most-1]))
+		b = redcon.AppendArray(b, most)
+		b = redcon.AppendBulk(b, args[0])
+		b = redcon.AppendBulk(b, args[1])
+		b = redcon.AppendBulk(b, args[2])
+		b = redcon.AppendBulkString(b, list)
+		if most == 5 {
+			b = redcon.AppendBulk(b, args[4])
+		}
+		return b
+	}
+	return op, key, left, again, nil
+}
+
+// AskLoad is the command that asks an instance for its load.
+func AskLoad(int64) []byte { return []byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n") }
+
+// Refused words a refusal, with the time to come back if there is one.
+func Refused(after int64) string {
+	if after <= 0 {
+		return "BUSY"
+	}
+	return "BUSY " + strconv.FormatInt(int64(math.Ceil(float64(after)/1e6)), 10)
+}
+
+// Failed words a failure.
+const Failed = "ERR failed"
--- /dev/null
+++ b/internal/protocol/facts.go
@@ -0,0 +1,193 @@
+package protocol
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/tidwall/gjson"
+
+	"laurelring/choice"
+)
+
+// Facts reads JSON by the names of its fields and keeps the first that is missing or wrong; unknown ones are
+// not looked at.
+type Facts struct {
+	root gjson.Result
+	what string // what is read, for the message on a fault
+	err  error
+}
+
+// ReadSettings opens the object that an instance is handed at its start.
+func ReadSettings(text []byte) (*Facts, error) { return read("setting", text) }
+
+func read(what string, text []byte) (*Facts, error) {
+	if !gjson.ValidBytes(text) {
+		return nil, fmt.Errorf("the %ss are not JSON", what)
+	}
+	root := gjson.ParseBytes(text)
+	if !root.IsObject() {
+		return nil, fmt.Errorf("the %ss are not a JSON object", what)
+	}
+	return &Facts{root: root, what: what}, nil
+}
+
+// Err is the first fault met so far.
+func (f *Facts) Err() error { return f.err }
+
+func (f *Facts) fault(path, why string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s %q %s", f.what, path, why)
+	}
+}
+
+func (f *Facts) get(from gjson.Result, path string, kind gjson.Type) gjson.Result {
+	v := from.Get(path)
+	if !v.Exists() {
+		f.fault(path, "is missing")
+	} else if v.Type != kind && !(kind == gjson.True && v.Type == gjson.False) {
+		f.fault(path, "is of the wrong type")
+	}
+	return v
+}
+
+func (f *Facts) num(path string) float64       { return f.get(f.root, path, gjson.Number).Num }
+func (f *Facts) count(path string) int         { return int(f.num(path)) }
+func (f *Facts) ns(path string) int64          { return asNs(f.num(path)) }
+func (f *Facts) is(path string) bool           { return f.get(f.root, path, gjson.True).Bool() }
+func (f *Facts) word(path string) string       { return f.get(f.root, path, gjson.String).Str }
+func (f *Facts) list(path string) gjson.Result { return f.get(f.root, path, gjson.JSON) }
+
+func (f *Facts) nums(path string) []float64 {
+	var all []float64
+	for _, v := range f.list(path).Array() {
+		all = append(all, v.Num)
+	}
+	return all
+}
+
+func (f *Facts) words(path string) []string {
+	var all []string
+	for _, v := range f.list(path).Array() {
+		all = append(all, v.Str)
+	}
+	return all
+}
+
+func asNs(ms float64) int64 { return int64(math.Round(max(-4e12, min(4e12, ms)) * 1e6)) }
+
+func kindOf(word string) (choice.Kind, bool) {
+	switch word {
+	case "repeatable":
+		return choice.Redeliverable, true
+	case "by_key":
+		return choice.Deduplicated, true
+	}
+	return choice.AtMostOnce, word == "once"
+}
+
+func groupOf(word string) (choice.Group, bool) {
+	switch word {
+	case "zone":
+		return choice.GroupZone, true
+	case "cell":
+		return choice.GroupCell, true
+	}
+	return choice.GroupAll, word == "" || word == "all"
+}
+
+func controlOf(word string) (choice.Control, bool) {
+	switch word {
+	case "any":
+		return choice.ControlAny, true
+	case "share":
+		return choice.ControlShare, true
+	}
+	return choice.ControlClock, word == "timer"
+}
+
+// Gateway starts a gateway from its settings, with its op types and tenants in their order.
+func (f *Facts) Gateway(seed uint64) (*choice.Gateway, []*choice.OpType, []*choice.Tenant) {
+	var ops []*choice.OpType
+	var tenants []*choice.Tenant
+	g := choice.New(seed, f.count("rank"), f.count("balancers"), f.count("locality"), f.ns("period_ms"))
+	for i, lane := range f.list("lanes").Array() {
+		kind, ok := kindOf(f.get(lane, "repeat", gjson.String).Str)
+		group, in := groupOf(lane.Get("dedup_scope").Str)
+		if !ok || !in {
+			f.fault(fmt.Sprintf("lanes.%d", i), "has an unknown kind or group")
+		}
+		ops = append(ops, g.OpType(
+			asNs(f.get(lane, "aim_ms", gjson.Number).Num), lane.Get("aim_stretch").Num,
+			asNs(f.get(lane, "give_up_ms", gjson.Number).Num), f.get(lane, "gain", gjson.Number).Num,
+			lane.Get("late_worth").Num, kind, group, asNs(lane.Get("window_ms").Num)))
+	}
+	for _, org := range f.list("orgs").Array() {
+		tenants = append(tenants, g.Tenant(f.get(org, "quota_rps", gjson.Number).Num))
+	}
+	g.Bound(f.count("limits.max_attempts"), f.is("limits.may_cancel"), f.is("limits.retry_after"),
+		f.ns("limits.max_retry_after_ms"))
+	g.Price(f.num("prices.cross_zone"), f.num("family_info.lag_fee"), f.num("family_info.damage_price"))
+	g.Chill(f.num("invariants.cold_from"), f.ns("invariants.cold_ms"), f.num("invariants.fall_multiple"),
+		f.ns("invariants.fall_ms"))
+	g.Follow(f.MustAsk())
+	g.Expose(f.ns("family_info.window_ms"), f.num("family_info.allowance"), f.word("family_info.per") == "class",
+		f.count("family_info.closed_stages"), f.is("family_info.one_way"), f.nums("family_info.exposure_caps"))
+	control, ok := controlOf(f.word("family_info.decided_by"))
+	if !ok {
+		f.fault("family_info.decided_by", "names no known way")
+	}
+	g.Judge(control, f.count("family_info.ayes_needed"), f.count("family_info.votes_to_revert"),
+		f.nums("family_info.steps"), f.ns("family_info.vote_ttl_ms"), f.ns("family_info.api_timeout_ms"),
+		f.is("limits.peer_messages"))
+	return g, ops, tenants
+}
+
+// OpNames names the op types in their order; likewise Zones and Models, as the list of instances names them.
+func (f *Facts) OpNames() []string {
+	var all []string
+	for _, lane := range f.list("lanes").Array() {
+		all = append(all, f.get(lane, "name", gjson.String).Str)
+	}
+	return all
+}
+
+// Zones names the zones in their order.
+func (f *Facts) Zones() []string { return f.words("areas") }
+
+// Models names the kinds of machine in their order.
+func (f *Facts) Models() []string { return f.words("host_types") }
+
+// MustAsk tells whether the list of instances must be asked for its changes.
+func (f *Facts) MustAsk() bool { return f.word("registry_mode") == "ask" }
+
+// Longest is the longest time that a client waits.
+func (f *Facts) Longest() int64 {
+	longest := int64(0)
+	for _, lane := range f.list("lanes").Array() {
+		longest = max(longest, asNs(lane.Get("give_up_ms").Num))
+	}
+	return longest
+}
+
+// ConnectWithin, IdleFor, VoteWithin and AskWithin are times that the drivers keep.
+func (f *Facts) ConnectWithin() int64 { return f.ns("limits.connect_timeout_ms") }
+
+// IdleFor is how long an idle connection to an instance may stand.
+func (f *Facts) IdleFor() int64 { return f.ns("limits.idle_close_ms") }
+
+// VoteWithin is how long the answer to a vote is waited for.
+func (f *Facts) VoteWithin() int64 { return f.ns("family_info.api_timeout_ms") }
+
+// AskWithin is how long the list may go unasked before its changes count as told.
+func (f *Facts) AskWithin() int64 { return f.ns("invariants.ask_within_ms") }
+
+// Busy names the field of a load report that tells how busy an instance is, and its position among the
+// fields; the position is -1 where there is none.
+func (f *Facts) Busy() (string, int) {
+	for i, field := range f.words("feedback.fields") {
+		if field == "utilization" {
+			return field, i
+		}
+	}
+	return "", -1
+}
--- /dev/null
+++ b/internal/protocol/list.go
@@ -0,0 +1,55 @@
+package protocol
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/tidwall/gjson"
+)
+
+// ListMost is the size of the longest list that is read.
+const ListMost = 8 << 20
+
+// List reads an answer of discovery and tells its entries one by one. Nothing is told of one that cannot be
+// read whole. Names of zones and models are found by their order in the settings; an unknown one counts as
+// one more. Without a call it is only checked.
+func List(text []byte, zones, models []string, each func(id, address string, ready, present bool, build, zone,
+	model, cell int, size float64, startedAt int64)) (revision int64, whole bool, err error) {
+	if !gjson.ValidBytes(text) {
+		return 0, false, errors.New("the list is not JSON")
+	}
+	root := gjson.ParseBytes(text)
+	members := root.Get("members")
+	if root.Get("revision").Type != gjson.Number || !members.IsArray() {
+		return 0, false, errors.New("the list lacks its revision or members")
+	}
+	for _, m := range members.Array() {
+		if m.Get("id").Type != gjson.String || m.Get("id").Str == "" || m.Get("phase").Type != gjson.String {
+			return 0, false, errors.New("a member lacks its id or phase")
+		}
+		if m.Get("phase").Str != "removed" && m.Get("host_port").Type != gjson.String {
+			return 0, false, errors.New("a member lacks its address")
+		}
+	}
+	for _, m := range members.Array() {
+		if each == nil {
+			break
+		}
+		size := 1.0
+		if v := m.Get("size"); v.Type == gjson.Number {
+			size = v.Num
+		}
+		phase := m.Get("phase").Str
+		each(m.Get("id").Str, m.Get("host_port").Str, phase == "up", phase == "up" || phase == "draining",
+			int(m.Get("build").Int()), place(zones, m.Get("locality").Str), place(models, m.Get("flavor").Str),
+			int(m.Get("cell").Int()), size, asNs(m.Get("up_since_ms").Num))
+	}
+	return root.Get("revision").Int(), root.Get("complete").Bool(), nil
+}
+
+func place(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
--- a/internal/simhost/totals.go
+++ b/internal/protocol/totals.go
@@ -1,4 +1,4 @@
-package simhost
+package protocol
 
 import (
 	"encoding/binary"
@@ -12,29 +12,39 @@
 	totalsMark  = 1
 	findingMark = 2
 	noLoad      = 255
+	sightSize   = 7
 )
 
-// packTotals lays a gateway's running totals and sights out as a message to its peers.
-func (h *host) packTotals(t *choice.Totals) []byte {
+// DatagramMost is the longest message that gateways may send one another.
+const DatagramMost = 256
+
+// PackTotals lays a gateway's running totals and sights out as a message to its peers. Sights beyond the
+// longest message are left out: those with losses come first.
+func PackTotals(t *choice.Totals, id func(*choice.Instance) uint32) []byte {
 	b := binary.LittleEndian.AppendUint64([]byte{totalsMark}, uint64(t.At))
 	b = binary.LittleEndian.AppendUint16(b, uint16(t.Build))
-	b = append(b, uint8(len(t.Cells)), uint8(len(t.Sights)))
+	b = append(b, uint8(len(t.Cells)), 0)
+	told := len(b) - 1
 	for _, n := range t.Cells {
 		b = binary.AppendUvarint(b, uint64(n))
 	}
 	for _, one := range t.Sights {
+		if len(b)+sightSize > DatagramMost {
+			break
+		}
 		load := uint8(noLoad)
 		if one.Busy >= 0 {
 			load = uint8(math.Round(min(one.Busy, 2) * 100))
 		}
-		b = binary.LittleEndian.AppendUint32(b, h.ids[one.Of])
+		b = binary.LittleEndian.AppendUint32(b, id(one.Of))
 		b = append(b, load, uint8(min(one.Acked, 255)), uint8(min(one.Lost, 255)))
+		b[told]++
 	}
 	return b
 }
 
-// unpackTotals reads such a message; nil for anything else. Sights of machines not listed here are left out.
-func (h *host) unpackTotals(text []byte, from int) *choice.Totals {
+// UnpackTotals reads such a message; nil for anything else. Sights of machines not listed here are left out.
+func UnpackTotals(text []byte, from int, named func(uint32) *choice.Instance) *choice.Totals {
 	if len(text) < 13 || text[0] != totalsMark {
 		return nil
 	}
@@ -48,11 +58,11 @@
 		}
 		t.Cells[i], rest = uint32(n), rest[used:]
 	}
-	if len(rest) != 7*sights {
+	if len(rest) != sightSize*sights {
 		return nil
 	}
-	for ; len(rest) > 0; rest = rest[7:] {
-		one := choice.Sight{Of: h.instances[binary.LittleEndian.Uint32(rest)], Busy: float64(rest[4]) / 100,
+	for ; len(rest) > 0; rest = rest[sightSize:] {
+		one := choice.Sight{Of: named(binary.LittleEndian.Uint32(rest)), Busy: float64(rest[4]) / 100,
 			Acked: int(rest[5]), Lost: int(rest[6])}
 		if rest[4] == noLoad {
 			one.Busy = -1
@@ -64,20 +74,20 @@
 	return t
 }
 
-// packFinding lays out what a voter tells the others.
-func (h *host) packFinding(f *choice.Finding) []byte {
+// PackFinding lays out what a voter tells the others.
+func PackFinding(f *choice.Finding, id func(*choice.Instance) uint32) []byte {
 	b := binary.LittleEndian.AppendUint64([]byte{findingMark}, uint64(f.At))
 	b = binary.LittleEndian.AppendUint16(b, uint16(f.Build))
 	b = append(b, uint8(f.Stage), uint8(f.Verdict))
 	b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(f.Work)))
 	for _, it := range f.Ill {
-		b = binary.LittleEndian.AppendUint32(b, h.ids[it])
+		b = binary.LittleEndian.AppendUint32(b, id(it))
 	}
 	return b
 }
 
-// unpackFinding reads such a message; nil for anything else.
-func (h *host) unpackFinding(text []byte, from int) *choice.Finding {
+// UnpackFinding reads such a message; nil for anything else.
+func UnpackFinding(text []byte, from int, named func(uint32) *choice.Instance) *choice.Finding {
 	if len(text) < 17 || len(text)%4 != 1 || text[0] != findingMark ||
 		choice.Verdict(text[12]) > choice.VoteBack {
 		return nil
@@ -86,7 +96,7 @@
 		Build: int(binary.LittleEndian.Uint16(text[9:])), Stage: int(text[11]), Verdict: choice.Verdict(text[12]),
 		Work: float64(math.Float32frombits(binary.LittleEndian.Uint32(text[13:])))}
 	for rest := text[17:]; len(rest) > 0; rest = rest[4:] {
-		if it := h.instances[binary.LittleEndian.Uint32(rest)]; it != nil {
+		if it := named(binary.LittleEndian.Uint32(rest)); it != nil {
 			f.Ill = append(f.Ill, it)
 		}
 	}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,410 @@
+// Package routing owns the module: one goroutine tells it every event in the order it came, asks it, and
+// obeys. It decides nothing.
+package routing
+
+import (
+	"container/heap"
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"laurelring/choice"
+	"laurelring/internal/protocol"
+)
+
+// Client is the place of a command's final answer. None of its calls waits.
+type Client interface {
+	Acked(value []byte)
+	Nacked(after int64)
+	Failed()
+}
+
+// Delivery is one that is out. GiveUp ends it without an outcome and tells whether it may have reached its
+// instance, and whether it had ended before: then its outcome comes by itself.
+type Delivery interface {
+	GiveUp() (reached, ended bool)
+}
+
+// Outside is what the router has done by others. None of its calls waits.
+type Outside struct {
+	Send func(address string, until time.Time, words func(within int64) []byte,
+		ended func(how choice.Outcome, value, load []byte)) Delivery
+	Drop  func(address string)
+	Post  func(to int, text []byte) // to all gateways where the number is below 0
+	Vote  func(choice.Vote)
+	Watch func()
+}
+
+const (
+	eventsMost = 1024             // that wait; whoever brings a further one waits
+	goneFor    = 60 * time.Second // an instance that the list no longer names is remembered so long
+)
+
+// Router keeps the commands in hand and the timers.
+type Router struct {
+	gateway *choice.Gateway
+	busy    string // the field of a load report that tells how busy an instance is
+	outside Outside
+	events  chan func(now int64)
+	clock   func() int64
+
+	commands  map[*choice.Command]*inHand
+	clients   map[Client]*inHand
+	instances map[string]*instance
+	numbered  map[uint32]*choice.Instance
+	known     map[*choice.Instance]*instance
+	due       timers
+	order     int
+	drained   chan struct{} // closed when nothing is in hand, once it is asked for
+}
+
+// inHand is a command until its final answer is given and nothing of it is out.
+type inHand struct {
+	cmd    *choice.Command
+	client Client // nil once it is answered or gone
+	words  func(within int64) []byte
+	out    map[*choice.Delivery]*flight
+}
+
+// flight is a delivery that is out, or a probe.
+type flight struct {
+	of     *inHand
+	dl     *choice.Delivery
+	on     Delivery
+	sentAt int64
+	until  int64
+	order  int // among those of one moment
+	at     int // in the timers
+}
+
+// instance is what the list told of one.
+type instance struct {
+	it      *choice.Instance
+	id      string
+	number  uint32
+	address string
+	goneAt  int64 // 0 while it is listed
+}
+
+// New makes a router of a gateway; the clock gives whole nanoseconds and never goes back.
+func New(g *choice.Gateway, busy string, clock func() int64, outside Outside) *Router {
+	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost),
+		commands: map[*choice.Command]*inHand{}, clients: map[Client]*inHand{},
+		instances: map[string]*instance{}, numbered: map[uint32]*choice.Instance{},
+		known: map[*choice.Instance]*instance{}}
+}
+
+// Run tells, asks and obeys until the context ends.
+func (r *Router) Run(ctx context.Context) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case event := <-r.events:
+			event(r.clock())
+			for more := true; more; { // what came meanwhile is told before the module is asked
+				select {
+				case event := <-r.events:
+					event(r.clock())
+				default:
+					more = false
+				}
+			}
+		case <-alarm.C:
+		case <-ctx.Done():
+			return
+		}
+		now := r.clock()
+		r.expire(now)
+		wait := r.chores(now)
+		if len(r.due) > 0 {
+			wait = min(wait, r.due[0].until-now)
+		}
+		alarm.Reset(time.Duration(max(wait, 0)))
+		if r.drained != nil && len(r.commands) == 0 {
+			close(r.drained)
+			r.drained = nil
+		}
+	}
+}
+
+// Command tells of a command that a client sent.
+func (r *Router) Command(op *choice.OpType, key uint64, left int64, words func(within int64) []byte, client Client) {
+	r.events <- func(now int64) {
+		c := &inHand{client: client, words: words, out: map[*choice.Delivery]*flight{}}
+		c.cmd = r.gateway.Take(op, nil, key, 0, left, now)
+		r.commands[c.cmd], r.clients[client] = c, c
+		r.obey(c, r.gateway.Where(c.cmd, now), now)
+	}
+}
+
+// Gone tells that a client has left before its answer.
+func (r *Router) Gone(client Client) {
+	r.events <- func(now int64) {
+		if c := r.clients[client]; c != nil {
+			r.gateway.ToldGone(c.cmd)
+			r.tidy(c)
+		}
+	}
+}
+
+// Listed tells an answer of discovery, or the list as it was known at the start; it gives the revision.
+func (r *Router) Listed(text []byte, zones, models []string, cached bool) (revision int64, err error) {
+	type result struct {
+		revision int64
+		err      error
+	}
+	done := make(chan result, 1)
+	r.events <- func(now int64) {
+		named := map[*choice.Instance]bool{}
+		revision, whole, err := protocol.List(text, zones, models, func(id, address string, ready, present bool,
+			build, zone, model, cell int, size float64, startedAt int64) {
+			i := r.instance(id)
+			if i.address != "" && i.address != address || !present {
+				r.outside.Drop(i.address)
+			}
+			i.address, i.goneAt = address, 0
+			if !present {
+				i.goneAt = now
+			}
+			named[i.it] = true
+			r.gateway.ToldInstance(i.it, ready, present, build, zone, model, cell, size, startedAt, now)
+		})
+		if err == nil {
+			if whole {
+				r.gateway.ToldOnly(named, now)
+				for _, i := range r.instances {
+					if !named[i.it] && i.goneAt == 0 {
+						i.goneAt = now
+						r.outside.Drop(i.address)
+					}
+				}
+			}
+			r.gateway.ToldListEnd(cached, now)
+			r.forget(now)
+		}
+		done <- result{revision, err}
+	}
+	got := <-done
+	return got.revision, got.err
+}
+
+// ListFailed tells that the list could not be asked, or that its watch broke.
+func (r *Router) ListFailed(err error) {
+	r.events <- func(now int64) {
+		slog.Warn("the watch of the list ended", "cause", err)
+		r.gateway.ToldListFailed(now)
+	}
+}
+
+// News tells where the newest build stands.
+func (r *Router) News(build, stage int, phase choice.Phase, most float64, since int64) {
+	r.events <- func(now int64) { r.gateway.ToldStage(build, stage, phase, most, since, now) }
+}
+
+// Voted tells the answer to a vote.
+func (r *Router) Voted(how choice.Outcome) {
+	r.events <- func(now int64) { r.gateway.ToldVote(how, now) }
+}
+
+// Heard tells a datagram of another gateway.
+func (r *Router) Heard(from int, text []byte) {
+	r.events <- func(now int64) {
+		if t := protocol.UnpackTotals(text, from, r.named); t != nil {
+			r.gateway.ToldTotals(t, now)
+		} else if f := protocol.UnpackFinding(text, from, r.named); f != nil {
+			r.gateway.ToldFinding(f, now)
+		}
+	}
+}
+
+// Drain closes the channel it gives once no command is in hand.
+func (r *Router) Drain() <-chan struct{} {
+	done := make(chan struct{})
+	r.events <- func(int64) { r.drained = done }
+	return done
+}
+
+// obey carries out what was decided on a command.
+func (r *Router) obey(c *inHand, d choice.Decision, now int64) {
+	switch d.Act {
+	case choice.Send:
+		f := &flight{of: c, dl: d.Delivery, sentAt: now, until: now + d.For, order: r.order}
+		r.order++
+		c.out[d.Delivery] = f
+		heap.Push(&r.due, f)
+		f.on = r.outside.Send(r.known[d.To].address, time.Now().Add(time.Duration(d.For)), c.words,
+			func(how choice.Outcome, value, load []byte) {
+				r.events <- func(now int64) { r.ended(f, how, value, load, now) }
+			})
+	case choice.Nack:
+		if c.client != nil {
+			c.client.Nacked(d.After)
+		}
+	case choice.Fail:
+		if c.client != nil {
+			c.client.Failed()
+		}
+	}
+	r.tidy(c)
+}
+
+// ended tells how a delivery ended, unless it was given up before.
+func (r *Router) ended(f *flight, how choice.Outcome, value, load []byte, now int64) {
+	if f.of.out[f.dl] != f {
+		return
+	}
+	delete(f.of.out, f.dl)
+	heap.Remove(&r.due, f.at)
+	if busy, ok := protocol.Load(load, r.busy); ok {
+		r.gateway.ToldLoad(f.dl.To, busy, now)
+	}
+	if how == choice.Acked && value == nil {
+		how = choice.Errored // it answers something else
+	}
+	settled := f.of.client == nil
+	if how == choice.Acked && !settled {
+		f.of.client.Acked(value)
+	}
+	d := r.gateway.After(f.dl, how, now-f.sentAt, settled, now)
+	r.obey(f.of, d, now)
+}
+
+// giveUp ends a delivery by the gateway's own will.
+func (r *Router) giveUp(f *flight, how choice.Outcome, now int64) {
+	reached, ended := f.on.GiveUp()
+	if ended {
+		f.until = now + int64(time.Millisecond)
+		heap.Fix(&r.due, f.at)
+		return
+	}
+	if !reached {
+		how = choice.Unsent
+	}
+	r.ended(f, how, nil, nil, now)
+}
+
+// expire gives up what has been out for as long as it may be.
+func (r *Router) expire(now int64) {
+	for len(r.due) > 0 && r.due[0].until <= now {
+		r.giveUp(r.due[0], choice.TimedOut, now)
+	}
+}
+
+// chores carries out what is due and gives how long to wait.
+func (r *Router) chores(now int64) int64 {
+	wait, due := r.gateway.Wait(now)
+	for _, cmd := range due.Ready {
+		if c := r.commands[cmd]; c != nil {
+			r.obey(c, r.gateway.Where(cmd, now), now)
+		}
+	}
+	if due.Watch {
+		r.outside.Watch()
+	}
+	for _, it := range due.Probe {
+		r.probe(it, now)
+	}
+	for _, dl := range due.Cancel {
+		if c := r.commands[dl.Cmd]; c != nil && c.out[dl] != nil {
+			r.giveUp(c.out[dl], choice.Withdrawn, now)
+		}
+	}
+	if due.Totals != nil {
+		text := protocol.PackTotals(due.Totals, r.number)
+		for _, to := range due.Voters {
+			r.outside.Post(to, text)
+		}
+	}
+	if due.Finding != nil {
+		r.outside.Post(-1, protocol.PackFinding(due.Finding, r.number))
+	}
+	for _, v := range due.Votes {
+		r.outside.Vote(v)
+	}
+	return wait
+}
+
+// probe asks an instance for its load.
+func (r *Router) probe(it *choice.Instance, sentAt int64) {
+	r.outside.Send(r.known[it].address, time.Now().Add(time.Second), protocol.AskLoad,
+		func(how choice.Outcome, _, load []byte) {
+			r.events <- func(now int64) {
+				if busy, ok := protocol.Load(load, r.busy); ok {
+					r.gateway.ToldLoad(it, busy, now)
+				}
+				r.gateway.ToldProbe(it, how, now-sentAt, now)
+			}
+		})
+}
+
+// tidy lets go of the client of a command that is over, and of the command once nothing of it is out.
+func (r *Router) tidy(c *inHand) {
+	if !c.cmd.Ended {
+		return
+	}
+	if c.client != nil {
+		delete(r.clients, c.client)
+		c.client = nil
+	}
+	if len(c.out) == 0 {
+		delete(r.commands, c.cmd)
+	}
+}
+
+// instance finds what an id names.
+func (r *Router) instance(id string) *instance {
+	i := r.instances[id]
+	if i == nil {
+		h := fnv.New32a()
+		h.Write([]byte(id))
+		i = &instance{it: &choice.Instance{}, id: id, number: h.Sum32()}
+		r.instances[id], r.known[i.it], r.numbered[i.number] = i, i, i.it
+	}
+	return i
+}
+
+// forget lets go of instances that the list has not named for long.
+func (r *Router) forget(now int64) {
+	for id, i := range r.instances {
+		if i.goneAt > 0 && now-i.goneAt > int64(goneFor) {
+			delete(r.instances, id)
+			delete(r.known, i.it)
+			if r.numbered[i.number] == i.it {
+				delete(r.numbered, i.number)
+			}
+		}
+	}
+}
+
+func (r *Router) number(it *choice.Instance) uint32 {
+	if i := r.known[it]; i != nil {
+		return i.number
+	}
+	return 0
+}
+
+func (r *Router) named(number uint32) *choice.Instance { return r.numbered[number] }
+
+// timers is a heap of what is out, by the moment until which it may be.
+type timers []*flight
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(a, b int) bool {
+	return t[a].until < t[b].until || t[a].until == t[b].until && t[a].order < t[b].order
+}
+func (t timers) Swap(a, b int) {
+	t[a], t[b] = t[b], t[a]
+	t[a].at, t[b].at = a, b
+}
+func (t *timers) Push(f any) {
+	f.(*flight).at = len(*t)
+	*t = append(*t, f.(*flight))
+}
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	f := (*t)[last]
+	*t = (*t)[:last]
+	return f
+}
--- /dev/null
+++ b/internal/transport/instances.go
@@ -0,0 +1,325 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"laurelring/choice"
+	"laurelring/internal/protocol"
+)
+
+// Instances carries deliveries to instances. A connection has one delivery in work at a time, so that no
+// answer waits behind another and giving up costs no other delivery.
+type Instances struct {
+	budget        *Budget
+	connectWithin time.Duration
+	idleFor       time.Duration
+
+	mu   sync.Mutex
+	idle map[string][]*link // by address, the latest used last
+	all  []*link            // idle ones, the longest idle first
+}
+
+// NewInstances takes how long a connection may take to come up and how long it may stand idle.
+func NewInstances(budget *Budget, connectWithin, idleFor time.Duration) *Instances {
+	in := &Instances{budget: budget, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
+	budget.Reclaim(in.closeIdle)
+	return in
+}
+
+// link is one connection to an instance. It ends in close, which alone gives its descriptor back.
+type link struct {
+	in      *Instances
+	address string
+	conn    net.Conn
+
+	mu      sync.Mutex
+	work    *Sending
+	writing bool
+	closed  bool
+}
+
+// Sending is a delivery on its way. It ends once, by what comes back or by GiveUp.
+type Sending struct {
+	until time.Time
+	words func(within int64) []byte
+	ended func(how choice.Outcome, value, load []byte)
+
+	mu    sync.Mutex
+	over  bool
+	begun bool // its first byte may have gone out
+	on    *link
+}
+
+// Send starts a delivery, for which the gateway waits until the given time. What comes of it is told to
+// ended, on another goroutine, unless it was given up before.
+func (in *Instances) Send(address string, until time.Time, words func(within int64) []byte,
+	ended func(how choice.Outcome, value, load []byte)) *Sending {
+	s := &Sending{until: until, words: words, ended: ended}
+	if l := in.takeIdle(address); l != nil {
+		s.on = l
+		go l.write(s, true)
+	} else {
+		go in.open(address, s)
+	}
+	return s
+}
+
+// GiveUp ends a delivery without an outcome and closes its connection before it returns: what is sent
+// elsewhere after it is no second copy. It tells whether the delivery may have reached the instance, and
+// whether it had ended before: then its outcome is on its way.
+func (s *Sending) GiveUp() (reached, ended bool) {
+	s.mu.Lock()
+	l, begun, was := s.on, s.begun, s.over
+	s.over = true
+	s.mu.Unlock()
+	if l != nil && !was {
+		l.close()
+	}
+	return begun, was
+}
+
+// end tells the outcome, unless one was told or the delivery was given up.
+func (s *Sending) end(how choice.Outcome, value, load []byte) {
+	if s.settle() {
+		s.ended(how, value, load)
+	}
+}
+
+// settle marks the delivery as over and tells whether it was not.
+func (s *Sending) settle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.over
+	s.over = true
+	return !was
+}
+
+// take puts a delivery on a connection, unless it was given up meanwhile.
+func (s *Sending) take(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.on = l
+	return !s.over
+}
+
+// begin marks that bytes go out from here on, unless the delivery was given up meanwhile.
+func (s *Sending) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun = !s.over
+	return s.begun
+}
+
+// open brings a connection up for a delivery.
+func (in *Instances) open(address string, s *Sending) {
+	if !in.budget.Take() {
+		s.end(choice.Unsent, nil, nil)
+		return
+	}
+	conn, err := net.DialTimeout("tcp", address, in.connectWithin)
+	if err != nil {
+		in.budget.Give()
+		s.end(choice.Unconnected, nil, nil)
+		return
+	}
+	l := &link{in: in, address: address, conn: conn}
+	if !s.take(l) {
+		l.close()
+		return
+	}
+	go l.write(s, false)
+	l.read()
+}
+
+// write sends a delivery's bytes. Until the last of them is written the command can't have run. A used
+// connection that has ended meanwhile is replaced, as long as nothing was written.
+func (l *link) write(s *Sending, used bool) {
+	l.mu.Lock()
+	closed := l.closed
+	if !closed {
+		l.work, l.writing = s, true
+	}
+	l.mu.Unlock()
+	if closed {
+		l.again(s, used)
+		return
+	}
+	within := time.Until(s.until)
+	if within <= 0 {
+		s.end(choice.Unsent, nil, nil)
+	}
+	if !s.begin() {
+		l.close()
+		return
+	}
+	l.conn.SetReadDeadline(time.Time{})
+	bytes := s.words(int64(within))
+	n, err := l.conn.Write(bytes)
+	l.mu.Lock()
+	l.writing = false
+	closed, answered := l.closed, l.work == nil
+	l.mu.Unlock()
+	switch {
+	case err != nil && n == 0:
+		l.close()
+		l.again(s, used)
+	case err != nil:
+		s.end(choice.Unconnected, nil, nil)
+		l.close()
+	case closed:
+		s.end(choice.Broken, nil, nil)
+	case answered: // before it was written
+		l.in.giveIdle(l)
+	}
+}
+
+// again opens a new connection for a delivery of which nothing was written on a used one.
+func (l *link) again(s *Sending, used bool) {
+	s.mu.Lock()
+	s.begun, s.on = false, nil
+	over := s.over
+	s.mu.Unlock()
+	if over {
+		return
+	}
+	if used {
+		l.in.open(l.address, s)
+	} else {
+		s.end(choice.Unconnected, nil, nil)
+	}
+}
+
+// read carries what comes back to the state machine until the connection ends.
+func (l *link) read() {
+	defer l.close()
+	b, reply := protocol.NewBuffer(protocol.ReplyMost), protocol.Reply{}
+	for {
+		room := b.Room()
+		if len(room) == 0 {
+			return
+		}
+		n, err := l.conn.Read(room)
+		b.Add(n)
+		for n > 0 {
+			how, value, load, done, err := reply.Next(b)
+			if err != nil {
+				return
+			}
+			if !done {
+				break
+			}
+			l.mu.Lock()
+			s, writing := l.work, l.writing
+			l.work = nil
+			l.mu.Unlock()
+			if s == nil {
+				return // it answers what nobody asked
+			}
+			told := s.settle() // before the connection serves another
+			if !writing {
+				l.in.giveIdle(l)
+			}
+			if told {
+				s.ended(how, value, load)
+			}
+		}
+		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
+			if l.in.forget(l) {
+				return // it has stood idle for long enough
+			}
+		} else if err != nil {
+			return
+		}
+	}
+}
+
+// close ends a connection and what it had in work, and gives its descriptor back.
+func (l *link) close() {
+	l.mu.Lock()
+	was, s, writing := l.closed, l.work, l.writing
+	l.closed = true
+	l.mu.Unlock()
+	if was {
+		return
+	}
+	l.in.forget(l)
+	l.conn.Close()
+	l.in.budget.Give()
+	if s == nil {
+		return
+	}
+	if !writing { // else write tells, which knows whether the last byte went out
+		s.end(choice.Broken, nil, nil)
+	}
+}
+
+func (in *Instances) takeIdle(address string) *link {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	some := in.idle[address]
+	if len(some) == 0 {
+		return nil
+	}
+	l := some[len(some)-1]
+	in.remove(l)
+	return l
+}
+
+func (in *Instances) giveIdle(l *link) {
+	l.conn.SetReadDeadline(time.Now().Add(in.idleFor)) // read ends then, if nothing was sent since
+	in.mu.Lock()
+	in.idle[l.address] = append(in.idle[l.address], l)
+	in.all = append(in.all, l)
+	in.mu.Unlock()
+}
+
+// remove takes a connection off the idle ones and tells whether it was one.
+func (in *Instances) remove(l *link) bool {
+	at := slices.Index(in.all, l)
+	if at < 0 {
+		return false
+	}
+	in.all = slices.Delete(in.all, at, at+1)
+	some := in.idle[l.address]
+	at = slices.Index(some, l)
+	if in.idle[l.address] = slices.Delete(some, at, at+1); len(some) == 1 {
+		delete(in.idle, l.address)
+	}
+	return true
+}
+
+func (in *Instances) forget(l *link) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.remove(l)
+}
+
+// closeIdle closes the connection that has stood idle longest.
+func (in *Instances) closeIdle() bool {
+	in.mu.Lock()
+	var l *link
+	if len(in.all) > 0 {
+		l = in.all[0]
+		in.remove(l)
+	}
+	in.mu.Unlock()
+	if l != nil {
+		l.close()
+	}
+	return l != nil
+}
+
+// Drop closes the idle connections to an address that is no longer listed.
+func (in *Instances) Drop(address string) {
+	for {
+		l := in.takeIdle(address)
+		if l == nil {
+			return
+		}
+		l.close()
+	}
+}
