--- a/choice/state.go
+++ b/choice/state.go
@@ -369,3 +369,9 @@
 	waiting  bool // for its answer
 	againAt  int64
 }
+
+// String names a phase for the log.
+func (p Phase) String() string { return [...]string{"on trial", "going back", "released", "taken off"}[p] }
+
+// String names a verdict for the log.
+func (v Verdict) String() string { return [...]string{"none", "on", "hold", "back"}[v] }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,6 +54,7 @@
 	instances map[string]*instance
 	numbered  map[uint32]*choice.Instance
 	known     map[*choice.Instance]*instance
+	stands    [3]int // the build, stage and phase last told
 	due       timers
 	order     int
 	drained   chan struct{} // closed when nothing is in hand, once it is asked for
@@ -200,7 +201,13 @@
 
 // News tells where the newest build stands.
 func (r *Router) News(build, stage int, phase choice.Phase, most float64, since int64) {
-	r.events <- func(now int64) { r.gateway.ToldStage(build, stage, phase, most, since, now) }
+	r.events <- func(now int64) {
+		if here := [3]int{build, stage, int(phase)}; here != r.stands {
+			slog.Info("news", "build", build, "stage", stage, "phase", phase, "cap", most)
+			r.stands = here
+		}
+		r.gateway.ToldStage(build, stage, phase, most, since, now)
+	}
 }
 
 // Voted tells the answer to a vote.
@@ -321,6 +328,7 @@
 		r.outside.Post(-1, protocol.PackFinding(due.Finding, r.number))
 	}
 	for _, v := range due.Votes {
+		slog.Info("vote", "build", v.Build, "stage", v.Stage, "verdict", v.Verdict)
 		r.outside.Vote(v)
 	}
 	return wait
