--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -25,6 +25,7 @@
 	servesOn    = 700 * time.Millisecond // after SIGTERM: clients may still connect for 0.4 s
 	endsWithin  = 2 * time.Second        // after the longest time that a client waits
 	memoryShare = 0.7                    // of the limit: where the runtime begins to collect in earnest
+	handShare   = 0.25                   // of the limit: commands in hand, whose values may be as large again
 )
 
 func main() {
@@ -68,6 +69,7 @@
 	}
 	zones, models := f.Zones(), f.Models()
 	busy, _ := f.Busy()
+	mustAsk := f.MustAsk()
 	connectWithin, idleFor := time.Duration(f.ConnectWithin()), time.Duration(f.IdleFor())
 	voteWithin, askWithin, longest := time.Duration(f.VoteWithin()), time.Duration(f.AskWithin()), f.Longest()
 	if f.Err() != nil {
@@ -88,7 +90,8 @@
 	begun := time.Now()
 	clock := func() int64 { return begun.UnixNano() + int64(time.Since(begun)) }
 	budget := transport.NewBudget(descriptors)
-	instances := transport.NewInstances(budget, connectWithin, idleFor/2)
+	complaints := &transport.Complaints{}
+	instances := transport.NewInstances(budget, complaints, connectWithin, idleFor/2)
 	post := func(int, []byte) {}
 	var peers *transport.Peers
 	if peersAt != "" {
@@ -128,7 +131,7 @@
 		return err
 	}
 	defer ln.Close()
-	front := transport.NewFront(budget, named,
+	front := transport.NewFront(budget, complaints, int64(handShare*float64(memory)), named,
 		func(op *choice.OpType, key uint64, left int64, again func(int64) []byte, to *transport.Answer) {
 			r.Command(op, key, left, again, to)
 		}, func(to *transport.Answer) { r.Gone(to) })
@@ -137,8 +140,11 @@
 		return err
 	}
 	go desk.Run(ctx)
+	if !mustAsk {
+		go discovery.Keep(ctx)
+	}
 	if peers != nil {
-		go peers.Run(r.Heard)
+		go peers.Run(r.Heard, complaints)
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(ln) }()
--- a/cmd/laurelring/main_test.go
+++ b/cmd/laurelring/main_test.go
@@ -295,6 +295,17 @@
 	if after := w.ask(5*time.Second, book("slow", "after")); after != "$5\r\nafter\r\n" {
 		t.Errorf("in the grace: %q", after)
 	}
+	conn, err := net.Dial("tcp", w.listen) // it stays quiet, and is closed
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a quiet connection at the end: %v", err)
+	}
+	if crossed := w.ask(5*time.Second, book("a", "crossed")); crossed != "$7\r\ncrossed\r\n" {
+		t.Errorf("brought again on a new connection: %q", crossed)
+	}
 	if before := <-got; before != "$6\r\nbefore\r\n" {
 		t.Errorf("taken before the signal: %q", before)
 	}
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -178,6 +178,12 @@
 // AskLoad is the command that asks an instance for its load.
 func AskLoad(int64) []byte { return []byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n") }
 
+// BulkHead and End stand around a value.
+func BulkHead(size int) []byte { return []byte("$" + strconv.Itoa(size) + "\r\n") }
+
+// End ends a value.
+var End = []byte("\r\n")
+
 // Refused words a refusal, with the time to come back if there is one.
 func Refused(after int64) string {
 	if after <= 0 {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -22,8 +22,10 @@
 	watching atomic.Bool
 }
 
-// graceAfterWait is how long after its wait an answer may still come.
-const graceAfterWait = 2 * time.Second
+const (
+	graceAfterWait = 2 * time.Second // after its wait an answer may still come
+	keepAgain      = time.Second     // after a failed call
+)
 
 // NewDiscovery takes the address, how long one call waits for changes, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
@@ -41,21 +43,35 @@
 		return
 	}
 	go func() {
-		for {
-			err := d.call(ctx)
-			if ctx.Err() != nil {
-				return
-			}
-			if err != nil {
-				d.client.CloseIdleConnections()
-				d.watching.Store(false)
-				d.failed(err)
-				return
-			}
+		err := d.watch(ctx)
+		d.watching.Store(false)
+		if ctx.Err() == nil {
+			d.failed(err)
 		}
 	}()
 }
 
+// Keep watches for as long as the context stands, where gateways need not ask for themselves.
+func (d *Discovery) Keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.failed(d.watch(ctx))
+		select {
+		case <-time.After(keepAgain):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watch calls again and again, each time as soon as the answer is told, until a call fails.
+func (d *Discovery) watch(ctx context.Context) error {
+	defer d.client.CloseIdleConnections()
+	for {
+		if err := d.call(ctx); err != nil {
+			return err
+		}
+	}
+}
+
 // call makes one call of a watch and tells what it brought.
 func (d *Discovery) call(ctx context.Context) error {
 	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", d.address, d.revision, d.wait.Milliseconds())
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sync/semaphore"
 
 	"laurelring/choice"
 	"laurelring/internal/protocol"
@@ -19,26 +21,31 @@
 	inHandMost  = 32              // commands of one connection that wait for their answers
 	answerFor   = 5 * time.Second // a client that takes no answer for so long is cut off
 	acceptAgain = 5 * time.Millisecond
+	// While the gateway ends, a new connection brings its command within this time or is closed. It also waits
+	// so long for a last one.
+	bringsWithin = 300 * time.Millisecond
 )
 
 // Front takes commands from clients and brings them their answers.
 type Front struct {
-	budget *Budget
-	ops    map[string]*choice.OpType
-	take   func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer)
-	gone   func(to *Answer)
+	budget     *Budget
+	complaints *Complaints
+	room       *semaphore.Weighted // bytes of commands in hand
+	ops        map[string]*choice.OpType
+	take       func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer)
+	gone       func(to *Answer)
 
 	mu      sync.Mutex
 	clients []*client // the longest quiet first
 	closing bool
 }
 
-// NewFront takes the op types by their names, and whom to tell of a command and of a client that left before
-// its answer.
-func NewFront(budget *Budget, ops map[string]*choice.OpType,
+// NewFront takes how many bytes of commands may be in hand, the op types by their names, and whom to tell of
+// a command and of a client that left before its answer.
+func NewFront(budget *Budget, complaints *Complaints, room int64, ops map[string]*choice.OpType,
 	take func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
-	f := &Front{budget: budget, ops: ops, take: take, gone: gone}
+	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), ops: ops, take: take, gone: gone}
 	budget.Reclaim(f.closeQuiet)
 	return f
 }
@@ -71,9 +78,8 @@
 			f.clients = append(f.clients, c)
 			closing := f.closing
 			f.mu.Unlock()
-			if closing {
-				c.Close()
-				continue
+			if closing { // it may bring again what crossed the end of another
+				time.AfterFunc(bringsWithin, func() { c.closeQuiet() })
 			}
 			return c, nil
 		}
@@ -202,7 +208,8 @@
 	go s.read(first)
 }
 
-// Drain closes the connections of clients as each has no command in hand. New ones are closed at once.
+// Drain closes the connections of clients as each has no command in hand. New ones are served all the same:
+// a client sends again what crossed the end of its connection.
 func (f *Front) Drain() {
 	f.mu.Lock()
 	f.closing = true
@@ -216,11 +223,12 @@
 // Rest waits until every client's connection has ended, but no longer than so long, and tells how many are
 // left.
 func (f *Front) Rest(within time.Duration) int {
-	for end := time.Now().Add(within); ; time.Sleep(acceptAgain) {
+	last, end := time.Now().Add(bringsWithin), time.Now().Add(within)
+	for ; ; time.Sleep(acceptAgain) {
 		f.mu.Lock()
 		n := len(f.clients)
 		f.mu.Unlock()
-		if n == 0 || time.Now().After(end) {
+		if now := time.Now(); n == 0 && now.After(last) || now.After(end) {
 			return n
 		}
 	}
@@ -248,36 +256,41 @@
 type Answer struct {
 	once sync.Once
 	done chan struct{}
-	put  func(redcon.Conn)
+	text net.Buffers
+	size int64 // of its command
 }
 
-func (a *Answer) end(put func(redcon.Conn)) {
+func (a *Answer) end(parts ...[]byte) {
 	a.once.Do(func() {
-		a.put = put
+		a.text = parts
 		close(a.done)
 	})
 }
 
 // Acked gives the value that an instance gave.
-func (a *Answer) Acked(value []byte) { a.end(func(c redcon.Conn) { c.WriteBulk(value) }) }
+func (a *Answer) Acked(value []byte) { a.end(protocol.BulkHead(len(value)), value, protocol.End) }
 
 // Nacked tells that trying again is harmless, and when to, if there is such a time.
-func (a *Answer) Nacked(after int64) {
-	a.end(func(c redcon.Conn) { c.WriteError(protocol.Refused(after)) })
-}
+func (a *Answer) Nacked(after int64) { a.end(redcon.AppendError(nil, protocol.Refused(after))) }
 
 // Failed promises nothing.
-func (a *Answer) Failed() { a.end(func(c redcon.Conn) { c.WriteError(protocol.Failed) }) }
+func (a *Answer) Failed() { a.end(redcon.AppendError(nil, protocol.Failed)) }
 
-func (a *Answer) wrong(why string) { a.end(func(c redcon.Conn) { c.WriteError("ERR " + why) }) }
+// refuse answers what cannot be taken as a command.
+func (f *Front) refuse(a *Answer, why string) {
+	a.end(redcon.AppendError(nil, "ERR "+why))
+	f.complaints.Complain("a client sent what cannot be taken", "cause", why)
+}
 
 func (s *session) read(cmd redcon.Command) {
 	var inHand []*Answer
 	for err := error(nil); err == nil; cmd, err = s.conn.ReadCommand() {
-		a := &Answer{done: make(chan struct{})}
+		a := &Answer{done: make(chan struct{}), size: int64(len(cmd.Raw))}
+		s.client.front.room.Acquire(context.Background(), a.size) // others' answers make room
 		select {
 		case s.answers <- a:
 		case <-s.cut:
+			s.client.front.room.Release(a.size)
 		}
 		inHand = append(slices.DeleteFunc(inHand, (*Answer).isDone), a)
 		s.client.front.command(cmd, a)
@@ -309,36 +322,48 @@
 	case "API.READ", "API.WRITE":
 		op, key, left, again, err := protocol.Decode(cmd.Args, f.ops)
 		if err != nil {
-			a.wrong(err.Error())
+			f.refuse(a, err.Error())
 			return
 		}
 		f.take(op, key, left, again, a)
 	case "PING":
-		a.end(func(c redcon.Conn) { c.WriteString("PONG") })
+		a.end(redcon.AppendString(nil, "PONG"))
 	case "TOO.LARGE":
-		a.wrong("a command is larger than 64 KiB")
+		f.refuse(a, "a command is larger than 64 KiB")
 	case "BAD.FRAME":
-		a.wrong("Protocol error")
+		f.refuse(a, "Protocol error")
 	default:
-		a.wrong("unknown command")
+		f.refuse(a, "unknown command")
 	}
 }
 
 // write brings the answers out until the client has left or takes none.
 func (s *session) write() {
-	defer s.client.Close()
-	defer close(s.cut)
-	for a := range s.answers {
-		select {
-		case <-a.done:
-		case <-s.left:
-			return
+	defer func() {
+		close(s.cut)
+		s.client.Close()
+		for a := range s.answers { // until the reader has seen the end
+			s.client.front.room.Release(a.size)
 		}
-		s.client.SetWriteDeadline(time.Now().Add(answerFor))
-		a.put(s.conn)
-		if s.conn.Flush() != nil {
+	}()
+	for a := range s.answers {
+		ok := s.bring(a)
+		s.client.front.room.Release(a.size)
+		if !ok {
 			return
 		}
 		s.client.free()
 	}
 }
+
+// bring waits for an answer and writes it; it tells whether the client took it.
+func (s *session) bring(a *Answer) bool {
+	select {
+	case <-a.done:
+	case <-s.left:
+		return false
+	}
+	s.client.SetWriteDeadline(time.Now().Add(answerFor))
+	_, err := a.text.WriteTo(s.client.Conn)
+	return err == nil
+}
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -15,6 +15,7 @@
 // answer waits behind another and giving up costs no other delivery.
 type Instances struct {
 	budget        *Budget
+	complaints    *Complaints
 	connectWithin time.Duration
 	idleFor       time.Duration
 
@@ -24,8 +25,8 @@
 }
 
 // NewInstances takes how long a connection may take to come up and how long it may stand idle.
-func NewInstances(budget *Budget, connectWithin, idleFor time.Duration) *Instances {
-	in := &Instances{budget: budget, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
+func NewInstances(budget *Budget, complaints *Complaints, connectWithin, idleFor time.Duration) *Instances {
+	in := &Instances{budget: budget, complaints: complaints, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
 	budget.Reclaim(in.closeIdle)
 	return in
 }
@@ -207,6 +208,7 @@
 		for n > 0 {
 			how, value, load, done, err := reply.Next(b)
 			if err != nil {
+				l.in.complaints.Complain("an instance sent a damaged reply", "address", l.address)
 				return
 			}
 			if !done {
@@ -217,7 +219,8 @@
 			l.work = nil
 			l.mu.Unlock()
 			if s == nil {
-				return // it answers what nobody asked
+				l.in.complaints.Complain("an instance answered what nobody asked", "address", l.address)
+				return
 			}
 			told := s.settle() // before the connection serves another
 			if !writing {
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -67,7 +67,7 @@
 }
 
 // Run sends what is posted and tells heard of every datagram of a known sender, until Close.
-func (p *Peers) Run(heard func(from int, text []byte)) {
+func (p *Peers) Run(heard func(from int, text []byte), complaints *Complaints) {
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -91,9 +91,11 @@
 			return
 		}
 		number, ok := numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if ok && n <= protocol.DatagramMost {
-			heard(number, append([]byte(nil), b[:n]...))
+		if !ok || n > protocol.DatagramMost {
+			complaints.Complain("a datagram of a stranger, or too long", "from", from)
+			continue
 		}
+		heard(number, append([]byte(nil), b[:n]...))
 	}
 }
 
