--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,12 +44,13 @@
 	illLeast    = 3.0       // deliveries lost lately, and more than this share of all beyond what others
 	illShare    = 0.5       // of its build lose: the voters tell all gateways to leave a machine alone
 	illTrial    = 0.04      // of the commands may try such a machine again
-	workFleet   = 1.5       // times what a command cost the fleet before: more is a build that slows all
+	workFleet   = 1.35      // times what a command cost the fleet before: more is a build that slows all
 	workGain    = 0.3       // of each new figure of that
 	usualGain   = 0.15      // of each new figure of what a warm machine answers us
 	lostWork    = 0.5       // of a command's work that one which came late or never may have cost
 	totalsFresh = 1500 * ms // a peer that sent no totals for this long is not heard
-	failLeast   = 0.02      // of its tries: what a trial may fail beyond the earlier build's rate
+	failLeast   = 0.02      // of its tries: what a trial may fail beyond the earlier build's rate,
+	failHarm    = 0.25      // or this share of what being behind costs over what harm does, if that is less
 	baseLeast   = 5         // one machine in so many of an earlier build is enough to compare times with
 	workMargin  = 1.3       // times the earlier build's work for a command that a good build may take
 	meanStart   = 0.25      // of the service target: taken for a mean time before there is one
@@ -197,10 +198,7 @@
 	}
 	g.unhold(cmd)
 	dl := &Delivery{Number: len(cmd.Deliveries), Cmd: cmd, To: to, sentAt: now, mayRun: true,
-		build: to.build, zone: to.zone, cell: to.cell}
-	if age := now - to.startedAt; to.startedAt > 0 {
-		dl.cold = age < warmSkip
-	}
+		build: to.build, zone: to.zone, cell: to.cell, cold: to.startedAt > 0 && now-to.startedAt < warmSkip}
 	cmd.Deliveries = append(cmd.Deliveries, dl)
 	cmd.Open++
 	to.open, to.sentAt = append(to.open, dl), now
@@ -347,19 +345,25 @@
 // the fleet against.
 func (g *Gateway) recall(now int64) {
 	power, acked, there := 0.0, 0.0, 0.0
+	young, grown := 0, 0 // machines of earlier builds
 	for _, it := range g.instances {
-		if it.ready && it.startedAt > 0 {
-			there += g.able(now-it.startedAt) * g.power(it)
-		} else if it.ready {
-			there += g.power(it)
+		if !it.ready {
+			continue
 		}
+		there += g.able(now-it.startedAt) * g.power(it)
 		if g.settled(it, now) && now-it.toldAt < busyFresh { // one that nobody reaches says the same for ever
 			it.worked += it.busy * g.power(it)
 		}
-		if it.ready && (it.startedAt <= 0 || now-it.startedAt > g.cold.warm+g.cold.span) {
+		fresh := it.startedAt > 0 && now-it.startedAt <= g.cold.warm+g.cold.span
+		if !fresh {
 			power += g.power(it)
 			acked += float64(it.acked.count(now - g.cold.span))
 		}
+		if it.build < g.judge.build && fresh {
+			young++
+		} else if it.build < g.judge.build {
+			grown++
+		}
 	}
 	if power > g.list.power/2 {
 		if g.cold.usual == 0 {
@@ -375,7 +379,8 @@
 		j.worked = work
 	} else if j.own == nil {
 		j.worked += workGain * (work - j.worked)
-	} else if j.worked > 0 && j.whole { // what commands cost the fleet, in those of before the build
+	} else if j.worked > 0 && j.whole && young <= grown { // not while the fleet has just gone back from a jam
+		// What commands cost the fleet, in those of before the build.
 		per := acked * float64(poolEvery) / float64(poolSpan) // since the last time
 		j.fresh = append(j.fresh, [2]float64{per, per * min(work/j.worked, 10)})
 		if old := j.fresh[0]; int64(len(j.fresh)) > totalsFresh/poolEvery { // by now a loss of messages would show
@@ -471,10 +476,7 @@
 // keys go first, and none while the pinned ones already ask for most of the cap.
 func (g *Gateway) mayPin(cmd *Command) bool {
 	e := &g.exposure
-	if !e.oneWay || cmd.key == 0 || e.cap >= 1 {
-		return true
-	}
-	if e.pinned[cmd.key] >= g.judge.build {
+	if !e.oneWay || cmd.key == 0 || e.cap >= 1 || e.pinned[cmd.key] >= g.judge.build {
 		return true
 	}
 	return float64(e.pinning) <= pinnedShare*e.cap*float64(e.all) &&
@@ -538,10 +540,7 @@
 		cmd.Ended = true
 		g.unhold(cmd)
 	}
-	if cmd.Ended || cmd.Open > 0 {
-		return Decision{Act: Nothing}
-	}
-	if dl.mayRun && cmd.op.kind == AtMostOnce {
+	if dl.mayRun && cmd.op.kind == AtMostOnce && !cmd.Ended {
 		return g.giveUp(cmd, now)
 	}
 	return g.Where(cmd, now)
@@ -743,9 +742,9 @@
 }
 
 // attempts is joint where the trial fails enough more: so small a difference is not worth a way back
-// (guards against a few failing machines).
-func attempts(trialTries, trialFails, baseTries, baseFails float64) float64 {
-	if baseTries == 0 || trialFails <= trialTries*(baseFails/baseTries+failLeast) {
+// (guards against a few failing machines; where harm is dear, less is borne of builds that fail a little).
+func attempts(trialTries, trialFails, baseTries, baseFails, may float64) float64 {
+	if baseTries == 0 || trialFails <= trialTries*(baseFails/baseTries+may) {
 		return 0
 	}
 	return joint(trialTries, trialFails, baseTries, baseFails)
@@ -764,13 +763,14 @@
 			}
 		}
 	}
+	margin := min(failLeast, failHarm*j.lag/max(j.harm, 1e-9))
 	var tt, tf, bt, bf, tw, bw float64
 	var logs []float64
 	for _, op := range g.ops {
 		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
 		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
 		tw, bw = tw+float64(t[2])/2, bw+float64(b[2])/2
-		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1])))
+		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1]), margin))
 	}
 	// The fleet's work since this stage is held against that before the build, as with equal exposure.
 	// Slowness by work, counted in commands of the earlier build, where machines tell how busy they are: it
@@ -782,7 +782,7 @@
 		may := tw * workMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
-	logs = append(logs, attempts(tt, tf, bt, bf), slower,
+	logs = append(logs, attempts(tt, tf, bt, bf, margin), slower,
 		joint(j.fleet[0]*workFleet, j.fleet[1], j.fleet[0], j.fleet[0]))
 	return meanOf(logs)
 }
