--- a/choice/choice.go
+++ b/choice/choice.go
@@ -751,8 +751,8 @@
 }
 
 // evidence pools the totals of all gateways on the build and averages the products: an average of such
-// products keeps the level alpha, so a look at each op type and at work is paid for by the average.
-func (g *Gateway) evidence() float64 {
+// products keeps the level alpha, so a look at each op type and at work is paid for. Beside it, work alone.
+func (g *Gateway) evidence() (all, work float64) {
 	j := &g.judge
 	sum := make([]uint32, len(j.own))
 	copy(sum, j.own)
@@ -782,9 +782,9 @@
 		may := tw * workMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
-	logs = append(logs, attempts(tt, tf, bt, bf, margin), slower,
-		joint(j.fleet[0]*workFleet, j.fleet[1], j.fleet[0], j.fleet[0]))
-	return meanOf(logs)
+	logs = append(logs, attempts(tt, tf, bt, bf, margin))
+	fleet := joint(j.fleet[0]*workFleet, j.fleet[1], j.fleet[0], j.fleet[0])
+	return meanOf(append(logs, slower, fleet)), meanOf(append(make([]float64, len(logs)), slower, fleet))
 }
 
 // voters are drawn by hash of the build: a few, whatever the size of the fleet.
@@ -830,10 +830,10 @@
 		}
 		blind = true
 	}
-	// With few earlier machines left a case must stand a while (guards against machines that begin to fail
-	// after a release, until they are named ill; harms where a build does so).
-	if level := g.evidence(); level >= math.Log(1/alpha) {
-		j.against = j.against || g.baseLeft() || now-j.clearAt >= caseHolds
+	// With few earlier machines left a case by failures must stand a while (guards against machines that begin
+	// to fail after a release, until they are named ill; harms where a build does so).
+	if level, work := g.evidence(); level >= math.Log(1/alpha) {
+		j.against = j.against || g.baseLeft() || work >= math.Log(1/alpha) || now-j.clearAt >= caseHolds
 	} else if j.clearAt = now; j.control == ControlClock && level < math.Log(holdLevel) {
 		j.against = false
 	}
