--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	defer ln.Close()
-	front := transport.NewFront(budget, complaints, int64(handShare*float64(memory)), named,
+	front := transport.NewFront(budget, complaints, int64(handShare*float64(memory)), longest, named,
 		func(op *choice.OpType, key uint64, left int64, again func(int64) []byte, to *transport.Answer) {
 			r.Command(op, key, left, again, to)
 		}, func(to *transport.Answer) { r.Gone(to) })
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -121,7 +121,7 @@
 func Decode(args [][]byte, ops map[string]*choice.OpType) (op *choice.OpType, key uint64, left int64,
 	again func(within int64) []byte, err error) {
 	most := 4
-	if string(args[0]) == "API.WRITE" {
+	if strings.EqualFold(string(args[0]), "API.WRITE") {
 		most = 5
 	}
 	if len(args) != most {
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -5,11 +5,17 @@
 import "sync"
 
 // Budget owns the gateway's descriptors. What discovery, the platform, peers and the runtime need is kept
-// back from the start; clients and instances share the rest, and idle connections go first at the limit.
+// back from the start; clients and instances share the rest, and at the limit idle connections go first:
+// those of the side that asks, then the other's, so that neither side starves the other.
 type Budget struct {
-	mu      sync.Mutex
-	left    int
-	reclaim []func() bool // each closes an idle connection, if it has one
+	mu    sync.Mutex
+	left  int
+	sides []Side
+}
+
+// Side holds connections of one kind.
+type Side interface {
+	closeIdle() bool // closes the connection that has been idle for longest, if there is one
 }
 
 // reserve is for the standard streams (3), the poller (2), the listener, the accepted connection that is
@@ -20,27 +26,35 @@
 // NewBudget takes the number of descriptors that the gateway may hold.
 func NewBudget(most int) *Budget { return &Budget{left: max(most-reserve, 2)} }
 
-// Reclaim adds a way to win a descriptor back; those added first are tried first.
-func (b *Budget) Reclaim(idle func() bool) { b.reclaim = append(b.reclaim, idle) }
+// join adds a side, before any descriptor is taken.
+func (b *Budget) join(s Side) { b.sides = append(b.sides, s) }
 
-// Take takes a descriptor, closing an idle connection if it must.
-func (b *Budget) Take() bool {
-	for try := 0; ; try++ {
-		b.mu.Lock()
-		ok := b.left > 0
-		if ok {
-			b.left--
-		}
-		b.mu.Unlock()
-		if ok || try == len(b.reclaim) {
-			return ok
+// take takes a descriptor for a side, closing an idle connection if it must.
+func (b *Budget) take(own Side) bool {
+	if b.free() || own.closeIdle() && b.free() {
+		return true
+	}
+	for _, s := range b.sides {
+		if s != own && s.closeIdle() && b.free() {
+			return true
 		}
-		b.reclaim[try]()
 	}
+	return false
+}
+
+// free takes a descriptor if one is left.
+func (b *Budget) free() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	return true
 }
 
-// Give gives a descriptor back.
-func (b *Budget) Give() {
+// give gives a descriptor back.
+func (b *Budget) give() {
 	b.mu.Lock()
 	b.left++
 	b.mu.Unlock()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -31,6 +31,7 @@
 	budget     *Budget
 	complaints *Complaints
 	room       *semaphore.Weighted // bytes of commands in hand
+	longest    int64               // a client waits
 	ops        map[string]*choice.OpType
 	take       func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer)
 	gone       func(to *Answer)
@@ -40,13 +41,14 @@
 	closing bool
 }
 
-// NewFront takes how many bytes of commands may be in hand, the op types by their names, and whom to tell of
-// a command and of a client that left before its answer.
-func NewFront(budget *Budget, complaints *Complaints, room int64, ops map[string]*choice.OpType,
+// NewFront takes how many bytes of commands may be in hand, the longest time for which a client is taken to
+// wait, the op types by their names, and whom to tell of a command and of a client that left before its
+// answer.
+func NewFront(budget *Budget, complaints *Complaints, room, longest int64, ops map[string]*choice.OpType,
 	take func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
-	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), ops: ops, take: take, gone: gone}
-	budget.Reclaim(f.closeQuiet)
+	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest, ops: ops, take: take, gone: gone}
+	budget.join(f)
 	return f
 }
 
@@ -72,7 +74,7 @@
 			continue
 		}
 		f := d.front
-		if f.budget.Take() {
+		if f.budget.take(f) {
 			c := &client{Conn: conn, front: f, buffer: protocol.NewBuffer(protocol.CommandMost)}
 			f.mu.Lock()
 			f.clients = append(f.clients, c)
@@ -193,7 +195,7 @@
 		}
 		f.mu.Unlock()
 		c.Conn.Close()
-		f.budget.Give()
+		f.budget.give()
 	})
 	return nil
 }
@@ -234,8 +236,8 @@
 	}
 }
 
-// closeQuiet closes the connection that has been quiet for longest.
-func (f *Front) closeQuiet() bool {
+// closeIdle closes the connection that has been quiet for longest.
+func (f *Front) closeIdle() bool {
 	f.mu.Lock()
 	all := slices.Clone(f.clients)
 	f.mu.Unlock()
@@ -325,7 +327,7 @@
 			f.refuse(a, err.Error())
 			return
 		}
-		f.take(op, key, left, again, a)
+		f.take(op, key, min(left, f.longest), again, a)
 	case "PING":
 		a.end(redcon.AppendString(nil, "PONG"))
 	case "TOO.LARGE":
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -27,7 +27,7 @@
 // NewInstances takes how long a connection may take to come up and how long it may stand idle.
 func NewInstances(budget *Budget, complaints *Complaints, connectWithin, idleFor time.Duration) *Instances {
 	in := &Instances{budget: budget, complaints: complaints, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
-	budget.Reclaim(in.closeIdle)
+	budget.join(in)
 	return in
 }
 
@@ -117,13 +117,13 @@
 
 // open brings a connection up for a delivery.
 func (in *Instances) open(address string, s *Sending) {
-	if !in.budget.Take() {
+	if !in.budget.take(in) {
 		s.end(choice.Unsent, nil, nil)
 		return
 	}
 	conn, err := net.DialTimeout("tcp", address, in.connectWithin)
 	if err != nil {
-		in.budget.Give()
+		in.budget.give()
 		s.end(choice.Unconnected, nil, nil)
 		return
 	}
@@ -251,7 +251,7 @@
 	}
 	l.in.forget(l)
 	l.conn.Close()
-	l.in.budget.Give()
+	l.in.budget.give()
 	if s == nil {
 		return
 	}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 
@@ -87,8 +88,11 @@
 	b := make([]byte, protocol.DatagramMost+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
+		} else if err != nil {
+			complaints.Complain("a datagram could not be read", "cause", err)
+			continue
 		}
 		number, ok := numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !ok || n > protocol.DatagramMost {
