--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -18,10 +18,10 @@
 	closeIdle() bool // closes the connection that has been idle for longest, if there is one
 }
 
-// reserve is for the standard streams (3), the poller (2), the listener, the accepted connection that is
-// turned away, peers, discovery (2) and the platform (2), each of the last two while one replaces another,
-// and a few for the runtime.
-const reserve = 16
+// reserve is for the standard streams (3), the poller (2), the listener, clients beyond the limit and the next
+// of them, peers, discovery (2) and the platform (2), each of the last two while one replaces another, and a
+// few for the runtime.
+const reserve = 16 + beyondMost
 
 // NewBudget takes the number of descriptors that the gateway may hold.
 func NewBudget(most int) *Budget { return &Budget{left: max(most-reserve, 2)} }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -21,8 +23,9 @@
 	inHandMost  = 32              // commands of one connection that wait for their answers
 	answerFor   = 5 * time.Second // a client that takes no answer for so long is cut off
 	acceptAgain = 5 * time.Millisecond
-	// While the gateway ends, a new connection brings its command within this time or is closed. It also waits
-	// so long for a last one.
+	beyondMost  = 8 // clients beyond the limit, whose commands are refused
+	// A new connection is not quiet before it has had so long to bring its command. While the gateway ends it
+	// waits so long for a last one.
 	bringsWithin = 300 * time.Millisecond
 )
 
@@ -32,6 +35,7 @@
 	complaints *Complaints
 	room       *semaphore.Weighted // bytes of commands in hand
 	longest    int64               // a client waits
+	beyond     chan struct{}       // holds one for each client beyond the limit
 	ops        map[string]*choice.OpType
 	take       func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer)
 	gone       func(to *Answer)
@@ -47,7 +51,7 @@
 func NewFront(budget *Budget, complaints *Complaints, room, longest int64, ops map[string]*choice.OpType,
 	take func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
-	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest, ops: ops, take: take, gone: gone}
+	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest, ops: ops, beyond: make(chan struct{}, beyondMost), take: take, gone: gone}
 	budget.join(f)
 	return f
 }
@@ -62,7 +66,8 @@
 	front *Front
 }
 
-// Accept waits for a client for which there is a descriptor.
+// Accept waits for a client. One for which there is no descriptor is taken beyond the limit, so that its
+// commands can be refused; with several of these the next ones wait outside.
 func (d *door) Accept() (net.Conn, error) {
 	for {
 		conn, err := d.Listener.Accept()
@@ -74,37 +79,50 @@
 			continue
 		}
 		f := d.front
-		if f.budget.take(f) {
-			c := &client{Conn: conn, front: f, buffer: protocol.NewBuffer(protocol.CommandMost)}
-			f.mu.Lock()
-			f.clients = append(f.clients, c)
-			closing := f.closing
-			f.mu.Unlock()
-			if closing { // it may bring again what crossed the end of another
-				time.AfterFunc(bringsWithin, func() { c.closeQuiet() })
-			}
-			return c, nil
+		c := &client{Conn: conn, front: f, buffer: protocol.NewBuffer(protocol.CommandMost), activeAt: time.Now()}
+		if c.within = f.budget.take(f); !c.within {
+			f.beyond <- struct{}{}
+		}
+		f.mu.Lock()
+		f.clients = append(f.clients, c)
+		closing := f.closing
+		f.mu.Unlock()
+		if closing || !c.within { // while closing it may bring again what crossed the end of another
+			c.closeLater()
 		}
-		conn.SetWriteDeadline(time.Now().Add(time.Millisecond))
-		conn.Write([]byte("-" + protocol.Refused(0) + "\r\n"))
-		conn.Close()
+		return c, nil
 	}
 }
 
+// admit tells whether a connection is within the limit, or can be by now.
+func (c *client) admit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.within && !c.shut && c.front.budget.free() {
+		c.within = true
+		<-c.front.beyond
+	}
+	return c.within
+}
+
 // client is one connection of a client. It ends in Close, which alone gives its descriptor back.
 type client struct {
 	net.Conn
 	front    *Front
 	buffer   *protocol.Buffer
 	commands protocol.Commands
-	ready    int    // bytes of a whole command that the buffer begins with
-	standIn  []byte // handed out in place of a command that cannot be
-	lost     bool   // its framing
-
-	mu     sync.Mutex
-	inHand int  // commands read and not yet answered
-	shut   bool // no further command is read
-	once   sync.Once
+	ready    int         // bytes of a whole command that the buffer begins with
+	standIn  []byte      // handed out in place of a command that cannot be
+	reading  atomic.Bool // bytes have come that may be a command
+	lost     bool        // its framing
+
+	mu       sync.Mutex
+	inHand   int  // commands read and not yet answered
+	served   bool // one was answered
+	activeAt time.Time
+	shut     bool // no further command is read
+	within   bool // the limit; its descriptor is the budget's
+	once     sync.Once
 }
 
 // hold counts a command that was read; none is any more once the connection is to be closed.
@@ -120,7 +138,8 @@
 // free counts one that was answered.
 func (c *client) free() {
 	c.mu.Lock()
-	c.inHand--
+	c.inHand, c.served, c.activeAt = c.inHand-1, true, time.Now()
+	within := c.within
 	c.mu.Unlock()
 	f := c.front
 	f.mu.Lock()
@@ -131,13 +150,29 @@
 	f.mu.Unlock()
 	if closing {
 		c.closeQuiet()
+	} else if !within {
+		c.closeLater()
 	}
 }
 
-// closeQuiet closes the connection unless a command is in hand.
+// closeLater closes the connection if it is quiet after a while.
+func (c *client) closeLater() {
+	time.AfterFunc(bringsWithin, func() {
+		c.mu.Lock()
+		busy := time.Since(c.activeAt) < bringsWithin || c.within && !c.front.isClosing()
+		c.mu.Unlock()
+		if !busy {
+			c.closeQuiet()
+		}
+	})
+}
+
+// closeQuiet closes the connection unless a command is in hand, lies unread, or may be on its way for the first
+// time. What comes after the look is the client's to send again.
 func (c *client) closeQuiet() bool {
 	c.mu.Lock()
-	quiet := c.inHand == 0 && !c.shut
+	quiet := c.inHand == 0 && !c.shut && (c.served || time.Since(c.activeAt) >= bringsWithin) &&
+		!c.reading.Load() && !unread(c.Conn)
 	c.shut = c.shut || quiet
 	c.mu.Unlock()
 	if quiet {
@@ -176,7 +211,10 @@
 				return 0, io.EOF
 			}
 		} else {
-			n, err := c.Conn.Read(c.buffer.Room())
+			room := c.buffer.Room()
+			c.reading.Store(false)
+			n, err := c.Conn.Read(room)
+			c.reading.Store(n > 0)
 			c.buffer.Add(n)
 			if n == 0 && err != nil {
 				return 0, err
@@ -195,7 +233,15 @@
 		}
 		f.mu.Unlock()
 		c.Conn.Close()
-		f.budget.give()
+		c.mu.Lock()
+		within := c.within
+		c.shut = true
+		c.mu.Unlock()
+		if within {
+			f.budget.give()
+		} else {
+			<-f.beyond
+		}
 	})
 	return nil
 }
@@ -218,19 +264,42 @@
 	all := slices.Clone(f.clients)
 	f.mu.Unlock()
 	for _, c := range all {
-		c.closeQuiet()
+		if !c.closeQuiet() {
+			c.closeLater()
+		}
 	}
 }
 
-// Rest waits until every client's connection has ended, but no longer than so long, and tells how many are
-// left.
+func (f *Front) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closing
+}
+
+// unread tells whether bytes that have come lie unread in a connection.
+func unread(conn net.Conn) bool {
+	some := false
+	if raw, err := conn.(syscall.Conn).SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			some = err == nil && n > 0
+		})
+	}
+	return some
+}
+
+// Rest waits until every client's connection has ended and none has come for a while, but no longer than so
+// long, and tells how many are left.
 func (f *Front) Rest(within time.Duration) int {
-	last, end := time.Now().Add(bringsWithin), time.Now().Add(within)
-	for ; ; time.Sleep(acceptAgain) {
+	begun := time.Now()
+	for last := begun; ; time.Sleep(acceptAgain) {
 		f.mu.Lock()
 		n := len(f.clients)
 		f.mu.Unlock()
-		if now := time.Now(); n == 0 && now.After(last) || now.After(end) {
+		if n > 0 {
+			last = time.Now()
+		}
+		if time.Since(last) > bringsWithin || time.Since(begun) > within {
 			return n
 		}
 	}
@@ -295,7 +364,11 @@
 			s.client.front.room.Release(a.size)
 		}
 		inHand = append(slices.DeleteFunc(inHand, (*Answer).isDone), a)
-		s.client.front.command(cmd, a)
+		if s.client.admit() {
+			s.client.front.command(cmd, a)
+		} else {
+			a.Nacked(0)
+		}
 	}
 	close(s.answers)
 	if s.client.lost {
