--- a/choice/choice.go
+++ b/choice/choice.go
@@ -860,21 +860,21 @@
 	return VoteNone
 }
 
-// latestStart is the latest listed start of the build's machines, and whether all of the stage's are
-// listed.
+// latestStart is the latest listed start of the build's machines, and whether all of the stage's are listed
+// or were. Guards against machines that die amid a stage: their restarts are no starts of it. Harms where a
+// build kills its machines slowly: it moves on with fewer.
 func (g *Gateway) latestStart() (latest int64, all bool) {
-	e := &g.exposure
+	e, j := &g.exposure, &g.judge
 	shown := 0
 	for _, it := range g.instances {
 		if it.ready && it.build == e.build {
-			latest = max(latest, it.startedAt)
+			latest = max(latest, it.firstAt)
 			shown++
 		}
 	}
-	if e.stage >= len(g.judge.shares) {
-		return latest, true
-	}
-	return latest, float64(shown) >= math.Ceil(g.judge.shares[e.stage]*float64(g.list.places)-0.01)
+	j.listed = j.listed || e.stage >= len(j.shares) ||
+		float64(shown) >= math.Ceil(j.shares[e.stage]*float64(g.list.places)-0.01)
+	return latest, j.listed
 }
 
 // Wait tells how long until it is to be asked again, and the chores that are due.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -193,6 +193,32 @@
 	}
 }
 
+// Socket bench, fleet 32, 37 and 53: a crash amid a stage whose machines had all been listed kept 'on' away until
+// they were back and 3 s old; the platform took a good build off by then.
+func TestCrashHoldsNoStage(t *testing.T) {
+	for _, shown := range []int{2, 1} { // of two machines of the stage
+		w := newWorld(5, ControlAny)
+		w.g.peers = 1
+		started(w, 20)
+		w.run(2*s, 0)
+		w.g.ToldStage(2, 0, OnTrial, 0.2, 0, w.now)
+		start := w.now
+		w.list(shown, start, 2)
+		w.run(s, 0)
+		w.g.ToldInstance(w.instances[20], true, true, 2, 0, 0, 0, 2, w.now, w.now) // it restarts
+		if shown == 2 {
+			w.g.ToldInstance(w.instances[21], false, false, 2, 0, 0, 0, 2, start, w.now)
+		}
+		w.g.ToldListEnd(false, w.now)
+		w.run(onWait-s-100*ms, 0)
+		early := w.g.opinion(w.now)
+		w.run(200*ms, 0)
+		if late := w.g.opinion(w.now); early != VoteNone || (late == VoteOn) != (shown == 2) {
+			t.Errorf("%d of two machines were listed: votes %v, then %v", shown, early, late)
+		}
+	}
+}
+
 // A pinned key goes to no earlier build, until the new one is sent back.
 func TestKeysMoveForward(t *testing.T) {
 	w := newWorld(6, ControlAny)
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -119,6 +119,9 @@
 	if it.block == nil || build != it.build {
 		g.retire(it)
 	}
+	if it.firstAt == 0 || build != it.build {
+		it.firstAt = startedAt
+	}
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
 		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
 		it.illUntil, it.good, it.lost, it.sentAt, it.knownAt = 0, 0, 0, 0, now
@@ -163,7 +166,7 @@
 	}
 	if build != e.build || stage != e.stage || phase != e.phase {
 		j.stageAt = now - since
-		j.againAt = 0
+		j.againAt, j.listed = 0, false
 		if j.own != nil && phase == OnTrial {
 			// The fleet against before: what was clean at a smaller stage says little.
 			j.fleet, j.fresh = [2]float64{}, nil
--- a/choice/state.go
+++ b/choice/state.go
@@ -211,6 +211,7 @@
 	cell      int
 	size      float64
 	startedAt int64
+	firstAt   int64 // when it first started with its build
 
 	knownAt    int64       // when its start was told
 	sentAt     int64       // our last delivery since then
@@ -361,6 +362,7 @@
 	ranks    []ranks
 	seenAt   int64 // when the list first showed the build
 	stageAt  int64 // when the present stage was first heard of
+	listed   bool  // the present stage was, in full
 	totalsAt int64 // when totals are next due
 	against  bool  // the product has reached its level
 	clearAt  int64 // when it last had not
