--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,7 +44,6 @@
 	illLeast    = 3.0       // deliveries lost lately, and more than this share of all beyond what others
 	illShare    = 0.5       // of its build lose: the voters tell all gateways to leave a machine alone
 	illTrial    = 0.04      // of the commands may try such a machine again
-	workFleet   = 1.35      // times what a command cost the fleet before: more is a build that slows all
 	workGain    = 0.3       // of each new figure of that
 	usualGain   = 0.15      // of each new figure of what a warm machine answers us
 	lostWork    = 0.5       // of a command's work that one which came late or never may have cost
@@ -52,7 +51,7 @@
 	failLeast   = 0.02      // of its tries: what a trial may fail beyond the earlier build's rate,
 	failHarm    = 0.25      // or this share of what being behind costs over what harm does, if that is less
 	baseLeast   = 5         // one machine in so many of an earlier build is enough to compare times with
-	workMargin  = 1.3       // times the earlier build's work for a command that a good build may take
+	workMargin  = 1.2       // times what a command costs the earlier build, or cost the fleet: a good build may
 	meanStart   = 0.25      // of the service target: taken for a mean time before there is one
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
@@ -352,7 +351,7 @@
 		}
 		there += g.able(now-it.startedAt) * g.power(it)
 		if g.settled(it, now) && now-it.toldAt < busyFresh { // one that nobody reaches says the same for ever
-			it.worked += it.busy * g.power(it)
+			it.worked += it.busy * g.even(it)
 		}
 		fresh := it.startedAt > 0 && now-it.startedAt <= g.cold.warm+g.cold.span
 		if !fresh {
@@ -377,7 +376,7 @@
 		// Nothing to go by: only voters hear all, and answers come after work. Guards against lost messages too.
 	} else if j.own == nil && j.worked == 0 {
 		j.worked = work
-	} else if j.own == nil {
+	} else if j.own == nil || g.exposure.phase == OnTrial && g.trialMachines() == 0 { // none listed yet
 		j.worked += workGain * (work - j.worked)
 	} else if j.worked > 0 && j.whole && young <= grown { // not while the fleet has just gone back from a jam
 		// What commands cost the fleet, in those of before the build.
@@ -591,6 +590,7 @@
 		to.slow = max(0.3, min(6, to.slow+0.08*(pace-to.slow)))
 		if m := g.model(to.model); to.build < g.judge.build || g.judge.own == nil {
 			m.pace = max(0.3, min(6, m.pace+0.01*(pace-m.pace)))
+			g.pace = max(0.3, min(6, g.pace+0.01*(pace-g.pace)))
 		}
 		g.jams(to, time > late*float64(op.target))
 		if time > congested*float64(op.target) {
@@ -690,10 +690,9 @@
 	}
 }
 
-// settled tells a machine that is warm beyond doubt: its work and the deliveries it ends are held against
-// each other.
+// settled tells a machine that is warm: its work and the deliveries it ends are held against each other.
 func (g *Gateway) settled(it *Instance, now int64) bool {
-	return it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)+s
+	return it.ready && now-it.startedAt > max(warmSkip, g.cold.warm)
 }
 
 // fold sums the evidence over machines. One that the voters name ill, or that fails us far more, speaks of
@@ -783,7 +782,7 @@
 		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
 	logs = append(logs, attempts(tt, tf, bt, bf, margin))
-	fleet := joint(j.fleet[0]*workFleet, j.fleet[1], j.fleet[0], j.fleet[0])
+	fleet := joint(j.fleet[0]*workMargin, j.fleet[1], j.fleet[0], j.fleet[0])
 	return meanOf(append(logs, slower, fleet)), meanOf(append(make([]float64, len(logs)), slower, fleet))
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -289,6 +289,42 @@
 	}
 }
 
+// Socket bench, fleet 6, 9, 16 and 49: the fleet's work is held against what it was. That moved with the pace that
+// is learned of machines, was taken from the first seconds alone, and rose where machines were new.
+func TestWorkOfBefore(t *testing.T) {
+	w := started(newWorld(17, ControlAny), 8)
+	busy := func(span int64, busy float64) float64 {
+		for _, it := range w.instances {
+			it.busy = busy
+		}
+		w.run(span, 0)
+		work, _ := w.g.work(w.now)
+		return work
+	}
+	before := busy(8*s, 0.3)
+	w.g.model(0).pace, w.g.model(1).pace, w.g.pace = 1.4, 1.4, 1.4
+	if work, _ := w.g.work(w.now); math.Abs(work/before-1) > 0.01 {
+		t.Errorf("the work is %.3f of what it was once all answers are slower", work/before)
+	}
+	w.g.ToldStage(2, 0, OnTrial, 0.1, 0, w.now)
+	if busy(4*s, 0.6); math.Abs(w.g.judge.worked/before-2) > 0.3 {
+		t.Errorf("before the build's first machine %.2f of the old work is learned", w.g.judge.worked/before)
+	}
+	w.list(1, w.now-9*s, 2)
+	if busy(4*s, 1.2); math.Abs(w.g.judge.worked/before-2) > 0.3 {
+		t.Errorf("amid the trial %.2f of the old work is learned", w.g.judge.worked/before)
+	}
+	for _, it := range w.instances { // others stand in for all
+		w.g.ToldInstance(it, false, false, it.build, 0, 0, 0, 2, 0, w.now)
+	}
+	w.list(9, w.now-9*s, 1)
+	for range 4 {
+		if work := busy(s/2, 0.3); math.Abs(work/before-1) > 0.3 {
+			t.Errorf("new machines of the same work show %.2f of it", work/before)
+		}
+	}
+}
+
 // Incident i1e3b86: every gateway sees the same crash; among them it counts about once.
 func TestCrashCountsOnceAmongGateways(t *testing.T) {
 	w := started(newWorld(8, ControlAny), 3)
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -271,6 +271,9 @@
 // power is what an instance can do against others: its size at the pace of its kind of machine.
 func (g *Gateway) power(it *Instance) float64 { return it.size / g.model(it.model).pace }
 
+// even is power at the mean pace of all kinds of machine: with one kind its size, however its answers go.
+func (g *Gateway) even(it *Instance) float64 { return g.power(it) * g.pace }
+
 // share is the number of this gateway's commands of the last span that fall to an instance by its power.
 func (g *Gateway) share(it *Instance, span, now int64) float64 {
 	power := g.power(it)
@@ -355,18 +358,19 @@
 // work is what a command costs warm machines lately, by their own figures and all gateways' answers, and
 // how many answers that was; no answers where none reports a figure.
 func (g *Gateway) work(now int64) (work, acked float64) {
-	busy, begun := 0.0, 1-faded(g.judge.hearsAt, now, poolSpan)
+	busy := 0.0
 	for _, it := range g.instances {
 		if it.ready && now-it.startedAt > g.cold.warm && now-it.toldAt < busyFresh {
 			it.note(0, 0, now)
-			busy += it.busy * g.power(it)
-			acked += it.good + lostWork*it.lost
+			busy += it.busy * g.even(it)
+			// Made up for what nobody could tell before we heard all, or before the machine was known.
+			since := max(now-max(g.judge.hearsAt, it.knownAt), poolEvery)
+			acked += (it.good + lostWork*it.lost) / (1 - faded(0, since, poolSpan))
 		}
 	}
 	if busy == 0 || acked == 0 {
 		return 0, 0
 	}
-	acked /= begun // what came before we heard all is not counted
 	return busy / acked, acked
 }
 
@@ -383,7 +387,7 @@
 	g.exposure.pinned = map[uint64]int{}
 	g.exposure.seen = map[uint64]int{}
 	g.exposure.build = -1
-	g.cold.lack, g.window = 1, math.Inf(1)
+	g.cold.lack, g.pace, g.window = 1, 1, math.Inf(1)
 	g.judge.heard = make([]*Totals, g.peers)
 	return g
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -257,6 +257,7 @@
 	out         int     // our deliveries that are out
 	window      float64 // how many may be
 	endedAt     int64   // when one last ended
+	pace        float64 // smoothed time of answers against the op types' means, of all kinds of machine
 	ways        []way   // by zone
 	unmet       float64 // smoothed share of our deliveries that found no connection
 	limits      limits
