--- a/choice/choice.go
+++ b/choice/choice.go
@@ -753,8 +753,7 @@
 // products keeps the level alpha, so a look at each op type and at work is paid for. Beside it, work alone.
 func (g *Gateway) evidence() (all, work float64) {
 	j := &g.judge
-	sum := make([]uint32, len(j.own))
-	copy(sum, j.own)
+	sum := slices.Clone(j.own)
 	for _, t := range j.heard {
 		if t != nil && t.Build == j.build {
 			for i, n := range t.Cells {
@@ -771,18 +770,20 @@
 		tw, bw = tw+float64(t[2])/2, bw+float64(b[2])/2
 		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1]), margin))
 	}
-	// The fleet's work since this stage is held against that before the build, as with equal exposure.
 	// Slowness by work, counted in commands of the earlier build, where machines tell how busy they are: it
 	// tells a slow build from queues, which load, cold keys and bursts make as well. It says nothing once few
-	// earlier machines are left, as the trial's work is then of another period, or while totals are missing;
-	// nor does a gateway that started amid a trial, which has not seen the work that the totals tell of.
-	slower, w := 0.0, j.workWas
+	// earlier machines are left, as the trial's work is then of another period, while totals are missing, or at
+	// a gateway that started amid a trial, which has not seen the work that the totals tell of. The fleet's work
+	// is held against that before, as with equal exposure, unless the trial's commands cost less than others.
+	slower, fleet, w := 0.0, 0.0, j.workWas
 	if g.baseLeft() && !j.deaf && j.whole && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
 		may := tw * workMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
+	if w[0] == 0 || w[0]*bw*workMargin >= w[1]*tw {
+		fleet = joint(j.fleet[0]*workMargin, j.fleet[1], j.fleet[0], j.fleet[0])
+	}
 	logs = append(logs, attempts(tt, tf, bt, bf, margin))
-	fleet := joint(j.fleet[0]*workMargin, j.fleet[1], j.fleet[0], j.fleet[0])
 	return meanOf(append(logs, slower, fleet)), meanOf(append(make([]float64, len(logs)), slower, fleet))
 }
 
