--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -8,12 +8,11 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sys/unix"
 
 	"laurelring/choice"
 	"laurelring/internal/protocol"
@@ -23,9 +22,9 @@
 	inHandMost  = 32              // commands of one connection that wait for their answers
 	answerFor   = 5 * time.Second // a client that takes no answer for so long is cut off
 	acceptAgain = 5 * time.Millisecond
-	beyondMost  = 8 // clients beyond the limit, whose commands are refused
-	// A new connection is not quiet before it has had so long to bring its command. While the gateway ends it
-	// waits so long for a last one.
+	beyondMost  = 8 // clients beyond the limit, whose commands find no room
+	// A client brings its next command within this time, or is quiet. While the gateway ends it waits as long for
+	// a last one.
 	bringsWithin = 300 * time.Millisecond
 )
 
@@ -51,7 +50,8 @@
 func NewFront(budget *Budget, complaints *Complaints, room, longest int64, ops map[string]*choice.OpType,
 	take func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
-	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest, ops: ops, beyond: make(chan struct{}, beyondMost), take: take, gone: gone}
+	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest,
+		beyond: make(chan struct{}, beyondMost), ops: ops, take: take, gone: gone}
 	budget.join(f)
 	return f
 }
@@ -67,7 +67,7 @@
 }
 
 // Accept waits for a client. One for which there is no descriptor is taken beyond the limit, so that its
-// commands can be refused; with several of these the next ones wait outside.
+// commands get an answer: what waits outside has been taken all the same, as the machine has accepted it.
 func (d *door) Accept() (net.Conn, error) {
 	for {
 		conn, err := d.Listener.Accept()
@@ -80,48 +80,65 @@
 		}
 		f := d.front
 		c := &client{Conn: conn, front: f, buffer: protocol.NewBuffer(protocol.CommandMost), activeAt: time.Now()}
-		if c.within = f.budget.take(f); !c.within {
-			f.beyond <- struct{}{}
+		if c.within = f.budget.take(f); c.within {
+			c.release = f.budget.give
+		} else {
+			f.goBeyond(c)
 		}
 		f.mu.Lock()
 		f.clients = append(f.clients, c)
 		closing := f.closing
 		f.mu.Unlock()
 		if closing || !c.within { // while closing it may bring again what crossed the end of another
-			c.closeLater()
+			c.endLater()
 		}
 		return c, nil
 	}
 }
 
+// goBeyond finds a place beyond the limit; where none is left a quiet client there has to go.
+func (f *Front) goBeyond(c *client) {
+	c.release = func() { <-f.beyond }
+	select {
+	case f.beyond <- struct{}{}:
+		return
+	default:
+	}
+	for _, o := range f.all() {
+		if o.endQuiet(0, false, true) {
+			break
+		}
+	}
+	f.beyond <- struct{}{}
+}
+
 // admit tells whether a connection is within the limit, or can be by now.
 func (c *client) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.within && !c.shut && c.front.budget.free() {
-		c.within = true
-		<-c.front.beyond
+		c.release()
+		c.within, c.release = true, c.front.budget.give
 	}
 	return c.within
 }
 
-// client is one connection of a client. It ends in Close, which alone gives its descriptor back.
+// client is one connection of a client. It ends in Close, which alone gives its place back.
 type client struct {
 	net.Conn
 	front    *Front
 	buffer   *protocol.Buffer
 	commands protocol.Commands
-	ready    int         // bytes of a whole command that the buffer begins with
-	standIn  []byte      // handed out in place of a command that cannot be
-	reading  atomic.Bool // bytes have come that may be a command
-	lost     bool        // its framing
+	ready    int    // bytes of a whole command that the buffer begins with
+	standIn  []byte // handed out in place of a command that cannot be
+	lost     bool   // its framing
 
 	mu       sync.Mutex
-	inHand   int  // commands read and not yet answered
-	served   bool // one was answered
+	inHand   int // commands read and not yet answered
 	activeAt time.Time
-	shut     bool // no further command is read
-	within   bool // the limit; its descriptor is the budget's
+	shut     bool   // no further command is read
+	within   bool   // the limit
+	release  func() // gives back its descriptor, or its place beyond the limit
 	once     sync.Once
 }
 
@@ -138,7 +155,7 @@
 // free counts one that was answered.
 func (c *client) free() {
 	c.mu.Lock()
-	c.inHand, c.served, c.activeAt = c.inHand-1, true, time.Now()
+	c.inHand, c.activeAt = c.inHand-1, time.Now()
 	within := c.within
 	c.mu.Unlock()
 	f := c.front
@@ -149,38 +166,52 @@
 	closing := f.closing
 	f.mu.Unlock()
 	if closing {
-		c.closeQuiet()
+		c.endQuiet(0, true, true)
 	} else if !within {
-		c.closeLater()
+		c.endLater()
 	}
 }
 
-// closeLater closes the connection if it is quiet after a while.
-func (c *client) closeLater() {
-	time.AfterFunc(bringsWithin, func() {
-		c.mu.Lock()
-		busy := time.Since(c.activeAt) < bringsWithin || c.within && !c.front.isClosing()
-		c.mu.Unlock()
-		if !busy {
-			c.closeQuiet()
-		}
-	})
+// endLater ends the connection if it is quiet after a while and the gateway ends or it is beyond the limit.
+func (c *client) endLater() {
+	time.AfterFunc(bringsWithin, func() { c.endQuiet(bringsWithin, c.front.isClosing(), true) })
 }
 
-// closeQuiet closes the connection unless a command is in hand, lies unread, or may be on its way for the first
-// time. What comes after the look is the client's to send again.
-func (c *client) closeQuiet() bool {
+// endQuiet ends a connection that has no command in hand and had none for so long, if such as are within the
+// limit or beyond it are to end.
+func (c *client) endQuiet(since time.Duration, within, beyond bool) bool {
 	c.mu.Lock()
-	quiet := c.inHand == 0 && !c.shut && (c.served || time.Since(c.activeAt) >= bringsWithin) &&
-		!c.reading.Load() && !unread(c.Conn)
+	quiet := !c.shut && c.inHand == 0 && (c.within && within || !c.within && beyond) && time.Since(c.activeAt) >= since
 	c.shut = c.shut || quiet
 	c.mu.Unlock()
 	if quiet {
+		c.reset()
 		c.Close()
 	}
 	return quiet
 }
 
+// reset has the connection end in a reset where all answers have arrived. It tells a client that what crossed
+// the end was not read, so that it may bring it again; an orderly end after a whole command would not.
+func (c *client) reset() {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	arrived := false
+	raw.Control(func(fd uintptr) {
+		waiting, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+		arrived = err == nil && waiting == 0
+	})
+	if arrived {
+		conn.SetLinger(0)
+	}
+}
+
 // Read hands whole commands to redcon, one at a time.
 func (c *client) Read(p []byte) (int, error) {
 	for {
@@ -207,14 +238,11 @@
 			c.ready = size
 		}
 		if len(c.standIn)+c.ready > 0 {
-			if !c.hold() {
+			if !c.hold() { // it crossed the end
 				return 0, io.EOF
 			}
 		} else {
-			room := c.buffer.Room()
-			c.reading.Store(false)
-			n, err := c.Conn.Read(room)
-			c.reading.Store(n > 0)
+			n, err := c.Conn.Read(c.buffer.Room())
 			c.buffer.Add(n)
 			if n == 0 && err != nil {
 				return 0, err
@@ -234,14 +262,9 @@
 		f.mu.Unlock()
 		c.Conn.Close()
 		c.mu.Lock()
-		within := c.within
 		c.shut = true
+		c.release()
 		c.mu.Unlock()
-		if within {
-			f.budget.give()
-		} else {
-			<-f.beyond
-		}
 	})
 	return nil
 }
@@ -261,31 +284,25 @@
 func (f *Front) Drain() {
 	f.mu.Lock()
 	f.closing = true
-	all := slices.Clone(f.clients)
 	f.mu.Unlock()
-	for _, c := range all {
-		if !c.closeQuiet() {
-			c.closeLater()
+	for _, c := range f.all() {
+		if !c.endQuiet(bringsWithin, true, true) { // one that is new may still bring its first
+			c.endLater()
 		}
 	}
 }
 
-func (f *Front) isClosing() bool {
+// all gives the connections, the longest quiet first.
+func (f *Front) all() []*client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.closing
+	return slices.Clone(f.clients)
 }
 
-// unread tells whether bytes that have come lie unread in a connection.
-func unread(conn net.Conn) bool {
-	some := false
-	if raw, err := conn.(syscall.Conn).SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) {
-			n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			some = err == nil && n > 0
-		})
-	}
-	return some
+func (f *Front) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closing
 }
 
 // Rest waits until every client's connection has ended and none has come for a while, but no longer than so
@@ -307,10 +324,7 @@
 
 // closeIdle closes the connection that has been quiet for longest.
 func (f *Front) closeIdle() bool {
-	f.mu.Lock()
-	all := slices.Clone(f.clients)
-	f.mu.Unlock()
-	return slices.ContainsFunc(all, (*client).closeQuiet)
+	return slices.ContainsFunc(f.all(), func(c *client) bool { return c.endQuiet(bringsWithin, true, false) })
 }
 
 // session is a client's connection once it has sent a command: its reader tells of commands and of the
@@ -364,11 +378,7 @@
 			s.client.front.room.Release(a.size)
 		}
 		inHand = append(slices.DeleteFunc(inHand, (*Answer).isDone), a)
-		if s.client.admit() {
-			s.client.front.command(cmd, a)
-		} else {
-			a.Nacked(0)
-		}
+		s.client.front.command(cmd, a, s.client.admit())
 	}
 	close(s.answers)
 	if s.client.lost {
@@ -391,8 +401,8 @@
 	}
 }
 
-// command takes one command in.
-func (f *Front) command(cmd redcon.Command, a *Answer) {
+// command takes one command in. One for which there is no room has no time left: it gets its final answer.
+func (f *Front) command(cmd redcon.Command, a *Answer, room bool) {
 	switch name := strings.ToUpper(string(cmd.Args[0])); name {
 	case "API.READ", "API.WRITE":
 		op, key, left, again, err := protocol.Decode(cmd.Args, f.ops)
@@ -400,6 +410,9 @@
 			f.refuse(a, err.Error())
 			return
 		}
+		if !room {
+			left = 0
+		}
 		f.take(op, key, min(left, f.longest), again, a)
 	case "PING":
 		a.end(redcon.AppendString(nil, "PONG"))
