--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -34,10 +34,11 @@
 	if path == "" {
 		err = errors.New("RELAY_CONFIG is not set")
 	}
-	ended := make(chan os.Signal, 1)
+	ended, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(again, syscall.SIGHUP)
 	if err == nil {
-		err = run(text, ended)
+		err = run(text, func() ([]byte, error) { return os.ReadFile(path) }, ended, again)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "laurelring:", err)
@@ -45,8 +46,9 @@
 	}
 }
 
-// run is one gateway from its configuration until it has ended as it was asked to.
-func run(text []byte, ended <-chan os.Signal) error {
+// run is one gateway from its configuration until it has ended as it was asked to. It reads the configuration
+// anew each time it is asked again.
+func run(text []byte, reread func() ([]byte, error), ended, again <-chan os.Signal) error {
 	l, err := protocol.ReadLaunch(text)
 	if err != nil {
 		return err
@@ -149,11 +151,22 @@
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(ln) }()
 	log.Info("serving", "address", listen, "memory", memory, "descriptors", descriptors)
-	select {
-	case err := <-failed:
-		return err
-	case got := <-ended:
-		log.Info("ending", "signal", got.String())
+	for ending := false; !ending; {
+		select {
+		case err := <-failed:
+			return err
+		case <-again:
+			if listAt, votesAt, err := addresses(reread); err != nil {
+				log.Error("the configuration stays as it was", "cause", err)
+			} else {
+				log.Info("the configuration is read again", "discovery", listAt, "platform", votesAt)
+				discovery.Move(listAt)
+				desk.Move(votesAt)
+			}
+		case got := <-ended:
+			log.Info("ending", "signal", got.String())
+			ending = true
+		}
 	}
 	time.Sleep(servesOn)
 	front.Drain()
@@ -163,3 +176,17 @@
 	log.Info("ended")
 	return nil
 }
+
+// addresses reads what a configuration that is read again may change: where the list and the platform are.
+func addresses(reread func() ([]byte, error)) (discovery, desk string, err error) {
+	text, err := reread()
+	if err != nil {
+		return "", "", err
+	}
+	l, err := protocol.ReadLaunch(text)
+	if err != nil {
+		return "", "", err
+	}
+	discovery, desk = l.Discovery(), l.Desk()
+	return discovery, desk, l.Err()
+}
--- a/internal/protocol/desk.go
+++ b/internal/protocol/desk.go
@@ -63,11 +63,13 @@
 		return errors.New("the line is not JSON")
 	}
 	root := gjson.ParseBytes(line)
-	if method := root.Get("method"); method.Exists() {
-		if method.Str == "news" {
-			return News(root.Get("params"), told)
-		}
+	switch method := root.Get("method"); {
+	case method.Str == "news":
+		return News(root.Get("params"), told)
+	case method.Str == "ping":
 		return nil
+	case method.Exists():
+		return errors.New("the line is of an unknown kind")
 	}
 	id := root.Get("id")
 	if id.Type != gjson.Number {
@@ -80,6 +82,9 @@
 			how = choice.Rejected
 		case "ConditionFailed":
 			how = choice.Unsent
+		case "InternalFailure", "ValidationError":
+		default:
+			return errors.New("the answer holds an unknown error")
 		}
 		answered(int(id.Num), how)
 		return nil
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"slices"
 
 	"github.com/tidwall/gjson"
@@ -24,11 +25,8 @@
 		return 0, false, errors.New("the list lacks its revision or members")
 	}
 	for _, m := range members.Array() {
-		if m.Get("id").Type != gjson.String || m.Get("id").Str == "" || m.Get("phase").Type != gjson.String {
-			return 0, false, errors.New("a member lacks its id or phase")
-		}
-		if m.Get("phase").Str != "removed" && m.Get("host_port").Type != gjson.String {
-			return 0, false, errors.New("a member lacks its address")
+		if err := sound(m); err != nil {
+			return 0, false, err
 		}
 	}
 	for _, m := range members.Array() {
@@ -47,6 +45,30 @@
 	return root.Get("revision").Int(), root.Get("complete").Bool(), nil
 }
 
+// sound tells what a member lacks. An unknown word in place of a phase would read as a machine that is gone.
+func sound(m gjson.Result) error {
+	phase := m.Get("phase")
+	if m.Get("id").Type != gjson.String || m.Get("id").Str == "" || phase.Type != gjson.String {
+		return errors.New("a member lacks its id or phase")
+	}
+	switch phase.Str {
+	case "up", "draining":
+	case "removed":
+		return nil
+	default:
+		return errors.New("a member is in no known phase")
+	}
+	if _, err := netip.ParseAddrPort(m.Get("host_port").Str); err != nil {
+		return errors.New("a member lacks its address")
+	}
+	for _, name := range []string{"build", "up_since_ms"} {
+		if m.Get(name).Type != gjson.Number {
+			return errors.New("a member lacks its " + name)
+		}
+	}
+	return nil
+}
+
 func place(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
 		return i
--- a/internal/protocol/reply.go
+++ b/internal/protocol/reply.go
@@ -13,23 +13,21 @@
 const ValueMost = 64 << 10
 
 const (
-	lineMost = 4 << 10 // the longest line that frames or tells of an error
-	headMost = 32      // the longest line that frames
-	wordMost = 1 << 10 // the longest word but the value
-	partMost = 8       // an array holds no more
+	lineMost   = 4 << 10 // the longest line that tells of an error
+	headMost   = 32      // the longest line that frames
+	reportMost = 4 << 10 // the longest load report
 )
 
 // ReplyMost is what a buffer needs to hold one reply.
-const ReplyMost = ValueMost + lineMost
+const ReplyMost = ValueMost + reportMost + 4*headMost
 
 var errDamaged = errors.New("damaged reply")
 
-// Reply reads the replies of an instance, one after the other.
+// Reply reads the replies of an instance, one after the other: an array of the value, a null and the load
+// report or a null, or an error line. Whatever else comes is damage.
 type Reply struct {
 	at    int // bytes of the present reply that are understood
-	array bool
-	left  int // parts of its array still to come
-	part  int // parts read
+	part  int // parts of its array that are understood, its head among them
 	value span
 	load  span
 }
@@ -47,105 +45,108 @@
 		if err != nil || size == 0 {
 			return 0, nil, nil, false, err
 		}
-		if !r.array {
-			switch line[0] {
-			case '-':
-				how, load := refusal(string(line[1:]))
-				r.end(b, size)
-				return how, nil, load, true, nil
-			case '*':
-				n, err := strconv.Atoi(string(line[1:]))
-				if err != nil || n < 1 || n > partMost {
-					return 0, nil, nil, false, errDamaged
-				}
-				r.array, r.left, r.at = true, n, r.at+size
-				continue
-			}
+		switch {
+		case r.part == 0 && line[0] == '-':
+			how, load, err := refusal(string(line[1:]))
+			r.end(b, size)
+			return how, nil, load, err == nil, err
+		case r.part == 0 && string(line) == "*3":
+			r.part, r.at = 1, size
+			continue
+		case r.part == 0 || r.part == 2 && string(line) != "$-1":
+			return 0, nil, nil, false, errDamaged
 		}
-		whole := size
-		var word span
-		switch line[0] {
-		case '$':
-			n, err := strconv.Atoi(string(line[1:]))
-			if err != nil || n < -1 || n > ValueMost || n > wordMost && r.part > 0 {
-				return 0, nil, nil, false, errDamaged
-			}
-			if n < 0 {
-				break
-			}
-			whole = size + n + 2
-			if len(data)-r.at < whole {
+		n, ok := sizeOf(line)
+		if !ok || n > ValueMost || r.part == 3 && n > reportMost {
+			return 0, nil, nil, false, errDamaged
+		}
+		whole, word := size, span{}
+		if n >= 0 {
+			if whole = size + n + 2; len(data)-r.at < whole {
 				return 0, nil, nil, false, nil
 			}
 			if data[r.at+whole-2] != '\r' || data[r.at+whole-1] != '\n' {
 				return 0, nil, nil, false, errDamaged
 			}
 			word = span{r.at + size, r.at + whole - 2}
-		case '+':
-			word = span{r.at + 1, r.at + len(line)}
-		case ':':
-		default:
-			return 0, nil, nil, false, errDamaged
 		}
-		if r.part == 0 {
+		switch r.at += whole; r.part {
+		case 1:
 			r.value = word
-		} else {
+		case 3:
 			r.load = word
+			return r.done(b)
 		}
-		r.at += whole
 		r.part++
-		if r.left--; r.array && r.left > 0 {
-			continue
-		}
-		value, load = bytes.Clone(data[r.value.from:r.value.to]), bytes.Clone(data[r.load.from:r.load.to])
-		how = choice.Acked
-		if !r.array { // the answer to a probe
-			value, load = nil, value
-		} else if r.value.from == 0 { // a null is no value
-			how, value = choice.Errored, nil
-		}
-		r.end(b, 0)
-		return how, value, load, true, nil
 	}
 }
 
-// Begun tells whether a reply has begun and is not whole.
-func (r *Reply) Begun(b *Buffer) bool { return len(b.Bytes()) > 0 }
+// done gives a whole reply and drops it from the buffer.
+func (r *Reply) done(b *Buffer) (how choice.Outcome, value, load []byte, done bool, err error) {
+	data := b.Bytes()
+	load = bytes.Clone(data[r.load.from:r.load.to])
+	how = choice.Errored // a null is no value
+	if r.value.from > 0 {
+		how, value = choice.Acked, bytes.Clone(data[r.value.from:r.value.to])
+	}
+	r.end(b, 0)
+	return how, value, load, true, nil
+}
 
 func (r *Reply) end(b *Buffer, more int) {
 	b.Drop(r.at + more)
 	*r = Reply{}
 }
 
+// sizeOf reads the head of a word: "$5", or "$-1" for a null.
+func sizeOf(line []byte) (int, bool) {
+	if line[0] != '$' || len(line) > 1 && line[1] == '+' {
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(line[1:]))
+	return n, err == nil && n >= -1
+}
+
 // lineOf gives the line that the data begins with, without its end, and its size with it; 0 while it is not
 // whole.
 func lineOf(data []byte) ([]byte, int, error) {
-	at := bytes.IndexByte(data[:min(len(data), lineMost)], '\n')
-	switch {
-	case at < 0 && len(data) >= lineMost:
+	if len(data) == 0 {
+		return nil, 0, nil
+	}
+	most := headMost
+	if data[0] == '-' {
+		most = lineMost
+	} else if data[0] != '*' && data[0] != '$' {
 		return nil, 0, errDamaged
-	case at < 0 && len(data) >= headMost && data[0] != '-' && data[0] != '+':
+	}
+	at := bytes.IndexByte(data[:min(len(data), most)], '\n')
+	switch {
+	case at < 0 && len(data) >= most:
 		return nil, 0, errDamaged
 	case at < 0:
 		return nil, 0, nil
-	case at < 2 || data[at-1] != '\r' || at > headMost && data[0] != '-' && data[0] != '+':
+	case at < 3 || data[at-1] != '\r':
 		return nil, 0, errDamaged
 	}
 	return data[:at-1], at + 1, nil
 }
 
 // refusal reads an error line: only one that says busy proves that the command never ran. A load report may
-// stand last.
-func refusal(line string) (choice.Outcome, []byte) {
-	how := choice.Errored
+// stand last. A line that begins otherwise is no instance's.
+func refusal(line string) (choice.Outcome, []byte, error) {
 	word, _, _ := strings.Cut(line, " ")
-	if word == "BUSY" {
+	how := choice.Errored
+	switch word {
+	case "BUSY":
 		how = choice.Rejected
+	case "ERR", "SYNTAX", "NOPERM":
+	default:
+		return 0, nil, errDamaged
 	}
 	if last := line[strings.LastIndexByte(line, ' ')+1:]; strings.Contains(last, "=") {
-		return how, []byte(last)
+		return how, []byte(last), nil
 	}
-	return how, nil
+	return how, nil, nil
 }
 
 // Load finds a field's figure in a load report.
--- a/internal/transport/desk.go
+++ b/internal/transport/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"laurelring/choice"
@@ -12,19 +13,26 @@
 
 // Desk keeps a connection to the platform: it listens to what the platform tells and casts votes on it.
 type Desk struct {
+	within time.Duration
+	told   func(build, stage int, phase choice.Phase, most float64, since int64)
+	voted  func(how choice.Outcome)
+	state  func(up bool, why error)
+	votes  chan choice.Vote
+	moved  chan struct{} // holds one once the address has changed
+	number int           // of the last call
+	heard  int           // the last call to listen that was answered
+
+	mu      sync.Mutex
 	address string
-	within  time.Duration
-	told    func(build, stage int, phase choice.Phase, most float64, since int64)
-	voted   func(how choice.Outcome)
-	state   func(up bool, why error)
-	votes   chan choice.Vote
-	number  int // of the last call
 }
 
 const (
 	votesMost  = 4                       // votes that wait to be cast; the module casts one at a time
 	silentFor  = 3500 * time.Millisecond // a sign of life comes every second
-	deskAgain  = 300 * time.Millisecond  // between two connections
+	lineWithin = 500 * time.Millisecond  // a line that has begun is whole, or is never
+	leaveFor   = time.Second             // an address that is left is still heard for votes in hand
+	deskAgain  = 100 * time.Millisecond  // between two connections
+	deskMost   = time.Second             // the same where one after the other fails
 	deskWithin = time.Second             // for a connection to come up
 )
 
@@ -34,7 +42,28 @@
 	told func(build, stage int, phase choice.Phase, most float64, since int64), voted func(how choice.Outcome),
 	state func(up bool, why error)) *Desk {
 	return &Desk{address: address, within: within, told: told, voted: voted, state: state,
-		votes: make(chan choice.Vote, votesMost)}
+		votes: make(chan choice.Vote, votesMost), moved: make(chan struct{}, 1)}
+}
+
+// Move has the platform heard at another address. Votes in hand are waited for where they were cast; those
+// to come are cast there.
+func (d *Desk) Move(address string) {
+	d.mu.Lock()
+	changed := d.address != address
+	d.address = address
+	d.mu.Unlock()
+	if changed {
+		select {
+		case d.moved <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (d *Desk) at() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.address
 }
 
 // Vote casts a vote. It does not wait; a vote for which there is no room was not carried out.
@@ -46,19 +75,30 @@
 	}
 }
 
-// Run keeps the connection until the context ends.
+// Run keeps the connection until the context ends. One that was heard is replaced soon, one after another
+// that is not, later each time.
 func (d *Desk) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: deskWithin}).DialContext(ctx, "tcp", d.address)
+	for pause := deskAgain; ctx.Err() == nil; pause = min(2*pause, deskMost) {
+		number := d.number + 1
+		conn, err := (&net.Dialer{Timeout: deskWithin}).DialContext(ctx, "tcp", d.at())
 		if err == nil {
 			err = d.serve(ctx, conn)
 		}
+		if err == nil { // left for another address
+			pause = deskAgain / 2
+			continue
+		}
+		if d.heard >= number {
+			pause = deskAgain
+		}
 		d.state(false, err)
-		again := time.After(deskAgain)
+		again := time.After(pause)
 		for waiting := true; waiting; {
 			select {
 			case <-d.votes:
 				d.voted(choice.Unconnected)
+			case <-d.moved:
+				waiting = false
 			case <-again:
 				waiting = false
 			case <-ctx.Done():
@@ -74,7 +114,8 @@
 	at time.Time // when it is no longer waited for
 }
 
-// serve listens and votes on one connection until it ends or falls silent.
+// serve listens and votes on one connection until it ends or falls silent; no error says that it was left for
+// another address, or that the context has ended.
 func (d *Desk) serve(ctx context.Context, conn net.Conn) error {
 	var votes []waiting
 	defer func() {
@@ -93,12 +134,19 @@
 	listening, alive := d.number, time.Now()
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
+	cast, leaveAt := d.votes, time.Time{}
 	for {
+		if cast == nil && len(votes) == 0 {
+			return nil
+		}
 		select {
+		case <-d.moved:
+			cast, leaveAt = nil, time.Now().Add(leaveFor)
 		case line := <-lines:
 			alive = time.Now()
 			err := protocol.Desk(line, d.told, func(id int, how choice.Outcome) {
 				if id == listening {
+					d.heard = id
 					d.state(true, nil)
 				}
 				for i, v := range votes {
@@ -112,7 +160,7 @@
 			if err != nil {
 				return err
 			}
-		case v := <-d.votes:
+		case v := <-cast:
 			d.number++
 			text := protocol.Ballot(d.number, v)
 			conn.SetWriteDeadline(time.Now().Add(d.within))
@@ -126,6 +174,9 @@
 				votes = votes[1:]
 				d.voted(choice.TimedOut)
 			}
+			if cast == nil && now.After(leaveAt) {
+				return nil
+			}
 			if now.Sub(alive) > silentFor {
 				return errSilent
 			}
@@ -137,7 +188,7 @@
 	}
 }
 
-// readLines hands on whole lines until the connection ends.
+// readLines hands on whole lines until the connection ends, or a line is not whole in time.
 func readLines(conn net.Conn, lines chan<- []byte, broken chan<- error, done <-chan struct{}) {
 	b := protocol.NewBuffer(protocol.LineMost)
 	for {
@@ -161,6 +212,11 @@
 			broken <- err
 			return
 		}
+		late := time.Time{}
+		if len(b.Bytes()) > 0 {
+			late = time.Now().Add(lineWithin)
+		}
+		conn.SetReadDeadline(late)
 	}
 }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,24 +16,28 @@
 // Discovery watches the list of instances.
 type Discovery struct {
 	client   *http.Client
-	address  string
 	wait     time.Duration
 	told     func(text []byte) (revision int64, err error)
 	failed   func(error)
 	revision int64
 	watching atomic.Bool
+
+	mu      sync.Mutex
+	address string
+	leave   context.CancelFunc // ends the present call
 }
 
 const (
-	graceAfterWait = 2 * time.Second // after its wait an answer may still come
-	keepAgain      = time.Second     // after a failed call
+	graceAfterWait = 2 * time.Second        // after its wait an answer may still come
+	wholeWithin    = 500 * time.Millisecond // an answer that has begun is whole, or is never
+	keepAgain      = time.Second            // after a failed call
 )
 
 // NewDiscovery takes the address, how long one call waits for changes, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
 func NewDiscovery(address string, wait time.Duration, revision int64,
 	told func(text []byte) (revision int64, err error), failed func(error)) *Discovery {
-	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision,
+	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
 			Timeout: wait + graceAfterWait}}
 }
@@ -62,19 +68,46 @@
 	}
 }
 
-// watch calls again and again, each time as soon as the answer is told, until a call fails.
+// Move has the watch go on at another address, at once: the present call ends unanswered.
+func (d *Discovery) Move(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.address != address {
+		d.address = address
+		d.leave()
+	}
+}
+
+// watch calls again and again, each time as soon as the answer is told, until a call fails where the list
+// still is.
 func (d *Discovery) watch(ctx context.Context) error {
 	defer d.client.CloseIdleConnections()
 	for {
-		if err := d.call(ctx); err != nil {
+		call, leave := context.WithCancel(ctx)
+		d.mu.Lock()
+		address := d.address
+		d.leave = leave
+		d.mu.Unlock()
+		err := d.call(call, leave, address)
+		leave()
+		d.mu.Lock()
+		moved := d.address != address
+		d.mu.Unlock()
+		if moved {
+			d.client.CloseIdleConnections()
+		} else if err != nil {
 			return err
 		}
 	}
 }
 
-// call makes one call of a watch and tells what it brought.
-func (d *Discovery) call(ctx context.Context) error {
-	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", d.address, d.revision, d.wait.Milliseconds())
+// call makes one call of a watch and tells what it brought. An answer that begins and does not end is given
+// up soon: the connection may stand for ever.
+func (d *Discovery) call(ctx context.Context, leave context.CancelFunc, address string) error {
+	late := time.AfterFunc(d.client.Timeout, leave)
+	defer late.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { late.Reset(wholeWithin) }})
+	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, d.wait.Milliseconds())
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -24,6 +24,10 @@
 	all  []*link            // idle ones, the longest idle first
 }
 
+// restFor is how long a connection stands idle before it is used again: what an instance sends beyond its
+// answer comes right behind it, and would be taken for the answer to the next command.
+const restFor = 20 * time.Millisecond
+
 // NewInstances takes how long a connection may take to come up and how long it may stand idle.
 func NewInstances(budget *Budget, complaints *Complaints, connectWithin, idleFor time.Duration) *Instances {
 	in := &Instances{budget: budget, complaints: complaints, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
@@ -41,6 +45,7 @@
 	work    *Sending
 	writing bool
 	closed  bool
+	idleAt  time.Time // since when it has stood idle
 }
 
 // Sending is a delivery on its way. It ends once, by what comes back or by GiveUp.
@@ -194,41 +199,16 @@
 	}
 }
 
-// read carries what comes back to the state machine until the connection ends.
+// read carries what comes back to the state machine until the connection ends. Nothing but the reply to the
+// delivery in work may come: a connection on which more comes is of no further use.
 func (l *link) read() {
 	defer l.close()
 	b, reply := protocol.NewBuffer(protocol.ReplyMost), protocol.Reply{}
 	for {
-		room := b.Room()
-		if len(room) == 0 {
-			return
-		}
-		n, err := l.conn.Read(room)
+		n, err := l.conn.Read(b.Room())
 		b.Add(n)
-		for n > 0 {
-			how, value, load, done, err := reply.Next(b)
-			if err != nil {
-				l.in.complaints.Complain("an instance sent a damaged reply", "address", l.address)
-				return
-			}
-			if !done {
-				break
-			}
-			l.mu.Lock()
-			s, writing := l.work, l.writing
-			l.work = nil
-			l.mu.Unlock()
-			if s == nil {
-				l.in.complaints.Complain("an instance answered what nobody asked", "address", l.address)
-				return
-			}
-			told := s.settle() // before the connection serves another
-			if !writing {
-				l.in.giveIdle(l)
-			}
-			if told {
-				s.ended(how, value, load)
-			}
+		if n > 0 && !l.take(b, &reply) {
+			return
 		}
 		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
 			if l.in.forget(l) {
@@ -240,6 +220,41 @@
 	}
 }
 
+// take reads on in what has come, and tells whether the connection is still of use.
+func (l *link) take(b *protocol.Buffer, reply *protocol.Reply) bool {
+	l.mu.Lock()
+	s := l.work
+	l.mu.Unlock()
+	if s == nil {
+		l.in.complaints.Complain("an instance sent what nobody asked for", "address", l.address)
+		return false
+	}
+	how, value, load, done, err := reply.Next(b)
+	if err != nil {
+		l.in.complaints.Complain("an instance sent a damaged reply", "address", l.address)
+		how, done = choice.Errored, true // it may have run, and the instance is there
+	}
+	if !done {
+		return true
+	}
+	sound := err == nil && len(b.Bytes()) == 0
+	l.mu.Lock()
+	writing := l.writing
+	l.work = nil
+	l.mu.Unlock()
+	told := s.settle() // before the connection serves another
+	switch {
+	case !sound:
+		l.close()
+	case !writing:
+		l.in.giveIdle(l)
+	}
+	if told {
+		s.ended(how, value, load)
+	}
+	return sound
+}
+
 // close ends a connection and what it had in work, and gives its descriptor back.
 func (l *link) close() {
 	l.mu.Lock()
@@ -263,18 +278,21 @@
 func (in *Instances) takeIdle(address string) *link {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	some := in.idle[address]
-	if len(some) == 0 {
-		return nil
+	now := time.Now()
+	for _, l := range slices.Backward(in.idle[address]) {
+		if now.Sub(l.idleAt) >= restFor {
+			in.remove(l)
+			return l
+		}
 	}
-	l := some[len(some)-1]
-	in.remove(l)
-	return l
+	return nil
 }
 
 func (in *Instances) giveIdle(l *link) {
-	l.conn.SetReadDeadline(time.Now().Add(in.idleFor)) // read ends then, if nothing was sent since
+	now := time.Now()
+	l.conn.SetReadDeadline(now.Add(in.idleFor)) // read ends then, if nothing was sent since
 	in.mu.Lock()
+	l.idleAt = now
 	in.idle[l.address] = append(in.idle[l.address], l)
 	in.all = append(in.all, l)
 	in.mu.Unlock()
@@ -318,11 +336,13 @@
 
 // Drop closes the idle connections to an address that is no longer listed.
 func (in *Instances) Drop(address string) {
-	for {
-		l := in.takeIdle(address)
-		if l == nil {
-			return
-		}
+	in.mu.Lock()
+	some := slices.Clone(in.idle[address])
+	for _, l := range some {
+		in.remove(l)
+	}
+	in.mu.Unlock()
+	for _, l := range some {
 		l.close()
 	}
 }
