--- a/choice/state.go
+++ b/choice/state.go
@@ -380,3 +380,8 @@
 
 // String names a verdict for the log.
 func (v Verdict) String() string { return [...]string{"none", "on", "hold", "back"}[v] }
+
+// String names an outcome for the log.
+func (o Outcome) String() string {
+	return [...]string{"acked", "errored", "rejected", "timed out", "unconnected", "broken", "withdrawn", "unsent"}[o]
+}
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -66,7 +66,7 @@
 	}
 	gateway, ops, _ := f.Gateway(seed)
 	named := map[string]*choice.OpType{}
-	for i, one := range f.OpNames() {
+	for i, one := range f.Asked() {
 		named[one] = ops[i]
 	}
 	zones, models := f.Zones(), f.Models()
@@ -115,11 +115,11 @@
 		Vote:  func(v choice.Vote) { desk.Vote(v) },
 		Watch: func() { discovery.Watch(ctx) },
 	})
-	desk = transport.NewDesk(deskAt, voteWithin, r.News, r.Voted, func(up bool, why error) {
-		if up {
-			log.Info("the platform is heard", "address", deskAt)
+	desk = transport.NewDesk(deskAt, voteWithin, r.News, r.Voted, func(address string, why error) {
+		if why == nil {
+			log.Info("the platform is heard", "address", address)
 		} else {
-			log.Warn("the platform is lost", "address", deskAt, "cause", why)
+			log.Warn("the platform is lost", "address", address, "cause", why)
 		}
 	})
 	if err := protocol.News(news, r.News); err != nil {
@@ -134,8 +134,8 @@
 	}
 	defer ln.Close()
 	front := transport.NewFront(budget, complaints, int64(handShare*float64(memory)), longest, named,
-		func(op *choice.OpType, key uint64, left int64, again func(int64) []byte, to *transport.Answer) {
-			r.Command(op, key, left, again, to)
+		func(op *choice.OpType, key uint64, id string, left int64, again func(int64) []byte, to *transport.Answer) {
+			r.Command(op, key, id, left, again, to)
 		}, func(to *transport.Answer) { r.Gone(to) })
 	go r.Run(ctx)
 	if _, err := r.Listed(known, zones, models, true); err != nil {
--- a/internal/protocol/facts.go
+++ b/internal/protocol/facts.go
@@ -142,15 +142,22 @@
 	return g, ops, tenants
 }
 
-// OpNames names the op types in their order; likewise Zones and Models, as the list of instances names them.
-func (f *Facts) OpNames() []string {
+// Asked gives the words by which clients ask for the op types, in their order: those that may be repeated are
+// read, the others written.
+func (f *Facts) Asked() []string {
 	var all []string
 	for _, lane := range f.list("lanes").Array() {
-		all = append(all, f.get(lane, "name", gjson.String).Str)
+		command := "API.WRITE"
+		if kind, _ := kindOf(lane.Get("repeat").Str); kind == choice.Redeliverable {
+			command = "API.READ"
+		}
+		all = append(all, asks(command, f.get(lane, "name", gjson.String).Str))
 	}
 	return all
 }
 
+func asks(command, name string) string { return command + " " + name }
+
 // Zones names the zones in their order.
 func (f *Facts) Zones() []string { return f.words("areas") }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -50,6 +50,7 @@
 	clock   func() int64
 
 	commands  map[*choice.Command]*inHand
+	ids       map[string]*inHand
 	clients   map[Client]*inHand
 	instances map[string]*instance
 	numbered  map[uint32]*choice.Instance
@@ -61,6 +62,7 @@
 
 // inHand is a command until its final answer is given and nothing of it is out.
 type inHand struct {
+	id     string
 	cmd    *choice.Command
 	client Client // nil once it is answered or gone
 	words  func(within int64) []byte
@@ -90,7 +92,7 @@
 // New makes a router of a gateway; the clock gives whole nanoseconds and never goes back.
 func New(g *choice.Gateway, busy string, clock func() int64, outside Outside) *Router {
 	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost),
-		commands: map[*choice.Command]*inHand{}, clients: map[Client]*inHand{},
+		commands: map[*choice.Command]*inHand{}, ids: map[string]*inHand{}, clients: map[Client]*inHand{},
 		instances: map[string]*instance{}, numbered: map[uint32]*choice.Instance{},
 		known: map[*choice.Instance]*instance{}}
 }
@@ -131,12 +133,18 @@
 	return max(wait, 0)
 }
 
-// Command tells of a command that a client sent.
-func (r *Router) Command(op *choice.OpType, key uint64, left int64, words func(within int64) []byte, client Client) {
+// Command tells of a command that a client sent. One by an id that another in hand bears is no command: it
+// would be taken for the other.
+func (r *Router) Command(op *choice.OpType, key uint64, id string, left int64, words func(within int64) []byte,
+	client Client) {
 	r.events <- func(now int64) {
-		c := &inHand{client: client, words: words, out: map[*choice.Delivery]*flight{}}
+		if r.ids[id] != nil {
+			client.Failed()
+			return
+		}
+		c := &inHand{id: id, client: client, words: words, out: map[*choice.Delivery]*flight{}}
 		c.cmd = r.gateway.Take(op, nil, key, 0, left, now)
-		r.commands[c.cmd], r.clients[client] = c, c
+		r.commands[c.cmd], r.clients[client], r.ids[id] = c, c, c
 		r.obey(c, r.gateway.Where(c.cmd, now), now)
 	}
 }
@@ -213,7 +221,12 @@
 
 // Voted tells the answer to a vote.
 func (r *Router) Voted(how choice.Outcome) {
-	r.events <- func(now int64) { r.gateway.ToldVote(how, now) }
+	r.events <- func(now int64) {
+		if how != choice.Acked {
+			slog.Warn("a vote did not count", "outcome", how)
+		}
+		r.gateway.ToldVote(how, now)
+	}
 }
 
 // Heard tells a datagram of another gateway.
@@ -352,6 +365,7 @@
 	}
 	if len(c.out) == 0 {
 		delete(r.commands, c.cmd)
+		delete(r.ids, c.id)
 	}
 }
 
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -5,12 +5,13 @@
 import "sync"
 
 // Budget owns the gateway's descriptors. What discovery, the platform, peers and the runtime need is kept
-// back from the start; clients and instances share the rest, and at the limit idle connections go first:
-// those of the side that asks, then the other's, so that neither side starves the other.
+// back from the start; clients and instances share the rest, each up to its part, and at the limit idle
+// connections go first: those of the side that asks, then the other's, so that neither side starves the other.
 type Budget struct {
-	mu    sync.Mutex
-	left  int
-	sides []Side
+	mu     sync.Mutex
+	most   int
+	left   int
+	shares []*Share
 }
 
 // Side holds connections of one kind.
@@ -18,44 +19,74 @@
 	closeIdle() bool // closes the connection that has been idle for longest, if there is one
 }
 
-// reserve is for the standard streams (3), the poller (2), the listener, clients beyond the limit and the next
-// of them, peers, discovery (2) and the platform (2), each of the last two while one replaces another, and a
-// few for the runtime.
-const reserve = 16 + beyondMost
+// Share is what one side may hold of a budget.
+type Share struct {
+	budget *Budget
+	side   Side
+	most   int
+	held   int
+}
+
+const (
+	// reserve is for the standard streams (3), the poller (2), the listener, clients beyond the limit and the next
+	// of them, peers, discovery (2) and the platform (2), each of the last two while one replaces another, and a
+	// few for the runtime.
+	reserve = 16 + beyondMost
+	// Clients that mean it hold no more than a third; a crowd of others may not take what deliveries need.
+	clientsPart   = 0.5
+	instancesPart = 1.0
+)
 
 // NewBudget takes the number of descriptors that the gateway may hold.
-func NewBudget(most int) *Budget { return &Budget{left: max(most-reserve, 2)} }
+func NewBudget(most int) *Budget {
+	most = max(most-reserve, 2)
+	return &Budget{most: most, left: most}
+}
 
 // join adds a side, before any descriptor is taken.
-func (b *Budget) join(s Side) { b.sides = append(b.sides, s) }
+func (b *Budget) join(side Side, part float64) *Share {
+	s := &Share{budget: b, side: side, most: max(1, int(part*float64(b.most)))}
+	b.shares = append(b.shares, s)
+	return s
+}
 
-// take takes a descriptor for a side, closing an idle connection if it must.
-func (b *Budget) take(own Side) bool {
-	if b.free() || own.closeIdle() && b.free() {
+// take takes a descriptor, closing an idle connection if it must.
+func (s *Share) take() bool {
+	if s.free() || s.side.closeIdle() && s.free() {
 		return true
 	}
-	for _, s := range b.sides {
-		if s != own && s.closeIdle() && b.free() {
+	for _, o := range s.budget.shares {
+		if o != s && s.within() && o.side.closeIdle() && s.free() {
 			return true
 		}
 	}
 	return false
 }
 
+func (s *Share) within() bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.held < s.most
+}
+
 // free takes a descriptor if one is left.
-func (b *Budget) free() bool {
+func (s *Share) free() bool {
+	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left == 0 {
+	if b.left == 0 || s.held >= s.most {
 		return false
 	}
 	b.left--
+	s.held++
 	return true
 }
 
 // give gives a descriptor back.
-func (b *Budget) give() {
+func (s *Share) give() {
+	b := s.budget
 	b.mu.Lock()
 	b.left++
+	s.held--
 	b.mu.Unlock()
 }
--- a/internal/transport/desk.go
+++ b/internal/transport/desk.go
@@ -16,7 +16,7 @@
 	within time.Duration
 	told   func(build, stage int, phase choice.Phase, most float64, since int64)
 	voted  func(how choice.Outcome)
-	state  func(up bool, why error)
+	state  func(address string, why error)
 	votes  chan choice.Vote
 	moved  chan struct{} // holds one once the address has changed
 	number int           // of the last call
@@ -40,7 +40,7 @@
 // how a vote ended, and of the connection's coming and going.
 func NewDesk(address string, within time.Duration,
 	told func(build, stage int, phase choice.Phase, most float64, since int64), voted func(how choice.Outcome),
-	state func(up bool, why error)) *Desk {
+	state func(address string, why error)) *Desk {
 	return &Desk{address: address, within: within, told: told, voted: voted, state: state,
 		votes: make(chan choice.Vote, votesMost), moved: make(chan struct{}, 1)}
 }
@@ -80,9 +80,10 @@
 func (d *Desk) Run(ctx context.Context) {
 	for pause := deskAgain; ctx.Err() == nil; pause = min(2*pause, deskMost) {
 		number := d.number + 1
-		conn, err := (&net.Dialer{Timeout: deskWithin}).DialContext(ctx, "tcp", d.at())
+		address := d.at()
+		conn, err := (&net.Dialer{Timeout: deskWithin}).DialContext(ctx, "tcp", address)
 		if err == nil {
-			err = d.serve(ctx, conn)
+			err = d.serve(ctx, address, conn)
 		}
 		if err == nil { // left for another address
 			pause = deskAgain / 2
@@ -91,7 +92,7 @@
 		if d.heard >= number {
 			pause = deskAgain
 		}
-		d.state(false, err)
+		d.state(address, err)
 		again := time.After(pause)
 		for waiting := true; waiting; {
 			select {
@@ -116,7 +117,7 @@
 
 // serve listens and votes on one connection until it ends or falls silent; no error says that it was left for
 // another address, or that the context has ended.
-func (d *Desk) serve(ctx context.Context, conn net.Conn) error {
+func (d *Desk) serve(ctx context.Context, address string, conn net.Conn) error {
 	var votes []waiting
 	defer func() {
 		conn.Close()
@@ -147,7 +148,7 @@
 			err := protocol.Desk(line, d.told, func(id int, how choice.Outcome) {
 				if id == listening {
 					d.heard = id
-					d.state(true, nil)
+					d.state(address, nil)
 				}
 				for i, v := range votes {
 					if v.id == id {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,12 +1,11 @@
 package transport
 
 import (
-	"context"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,24 +18,25 @@
 )
 
 const (
-	inHandMost  = 32              // commands of one connection that wait for their answers
-	answerFor   = 5 * time.Second // a client that takes no answer for so long is cut off
 	acceptAgain = 5 * time.Millisecond
 	beyondMost  = 8 // clients beyond the limit, whose commands find no room
 	// A client brings its next command within this time, or is quiet. While the gateway ends it waits as long for
 	// a last one.
 	bringsWithin = 300 * time.Millisecond
+	firstWithin  = 2500 * time.Millisecond // a client that brings no whole command by then is ended
+	quietFor     = 5 * time.Second         // between two commands: some ask once and stay for good
+	newWithin    = 50 * time.Millisecond   // one that has brought nothing by then goes first where room is short
 )
 
 // Front takes commands from clients and brings them their answers.
 type Front struct {
-	budget     *Budget
+	share      *Share
 	complaints *Complaints
-	room       *semaphore.Weighted // bytes of commands in hand
-	longest    int64               // a client waits
-	beyond     chan struct{}       // holds one for each client beyond the limit
-	ops        map[string]*choice.OpType
-	take       func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer)
+	room       *semaphore.Weighted       // bytes of commands in hand
+	longest    int64                     // a client waits
+	beyond     chan struct{}             // holds one for each client beyond the limit
+	ops        map[string]*choice.OpType // by the words that ask for them
+	take       func(op *choice.OpType, key uint64, id string, left int64, again func(within int64) []byte, to *Answer)
 	gone       func(to *Answer)
 
 	mu      sync.Mutex
@@ -48,11 +48,11 @@
 // wait, the op types by their names, and whom to tell of a command and of a client that left before its
 // answer.
 func NewFront(budget *Budget, complaints *Complaints, room, longest int64, ops map[string]*choice.OpType,
-	take func(op *choice.OpType, key uint64, left int64, again func(within int64) []byte, to *Answer),
+	take func(op *choice.OpType, key uint64, id string, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
-	f := &Front{budget: budget, complaints: complaints, room: semaphore.NewWeighted(room), longest: longest,
+	f := &Front{complaints: complaints, room: semaphore.NewWeighted(room), longest: longest,
 		beyond: make(chan struct{}, beyondMost), ops: ops, take: take, gone: gone}
-	budget.join(f)
+	f.share = budget.join(f, clientsPart)
 	return f
 }
 
@@ -80,8 +80,12 @@
 		}
 		f := d.front
 		c := &client{Conn: conn, front: f, buffer: protocol.NewBuffer(protocol.CommandMost), activeAt: time.Now()}
-		if c.within = f.budget.take(f); c.within {
-			c.release = f.budget.give
+		c.within = f.share.take()
+		for begun := time.Now(); !c.within && f.crowded() && time.Since(begun) < newWithin; c.within = f.share.take() {
+			time.Sleep(acceptAgain)
+		}
+		if c.within {
+			c.release = f.share.give
 		} else {
 			f.goBeyond(c)
 		}
@@ -116,9 +120,9 @@
 func (c *client) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.within && !c.shut && c.front.budget.free() {
+	if !c.within && !c.shut && c.front.share.free() {
 		c.release()
-		c.within, c.release = true, c.front.budget.give
+		c.within, c.release = true, c.front.share.give
 	}
 	return c.within
 }
@@ -129,12 +133,13 @@
 	front    *Front
 	buffer   *protocol.Buffer
 	commands protocol.Commands
-	ready    int    // bytes of a whole command that the buffer begins with
-	standIn  []byte // handed out in place of a command that cannot be
-	lost     bool   // its framing
+	greeted  bool      // redcon has been handed what it passes the connection on for
+	begunAt  time.Time // when the first byte of the command that is not whole came; zero if there is none
+	lost     bool      // its framing
 
 	mu       sync.Mutex
-	inHand   int // commands read and not yet answered
+	inHand   int  // commands read and not yet answered
+	brought  bool // one was read
 	activeAt time.Time
 	shut     bool   // no further command is read
 	within   bool   // the limit
@@ -148,6 +153,7 @@
 	defer c.mu.Unlock()
 	if !c.shut {
 		c.inHand++
+		c.brought = true
 	}
 	return !c.shut
 }
@@ -177,6 +183,14 @@
 	time.AfterFunc(bringsWithin, func() { c.endQuiet(bringsWithin, c.front.isClosing(), true) })
 }
 
+// endNew ends a connection within the limit that has brought nothing for a while.
+func (c *client) endNew() bool {
+	c.mu.Lock()
+	brought := c.brought
+	c.mu.Unlock()
+	return !brought && c.endQuiet(newWithin, true, false)
+}
+
 // endQuiet ends a connection that has no command in hand and had none for so long, if such as are within the
 // limit or beyond it are to end.
 func (c *client) endQuiet(since time.Duration, within, beyond bool) bool {
@@ -212,43 +226,79 @@
 	}
 }
 
-// Read hands whole commands to redcon, one at a time.
+// greeting is what redcon reads first on each connection: it passes the connection on.
+var greeting = []byte("*1\r\n$5\r\nBEGIN\r\n")
+
+// Read hands redcon the greeting, and nothing after it: the connection's session reads by itself. redcon's
+// own buffers are so let go of at once: a connection that stands for long would keep them at their largest.
 func (c *client) Read(p []byte) (int, error) {
+	if c.greeted {
+		return 0, io.EOF
+	}
+	c.greeted = true
+	return copy(p, greeting), nil
+}
+
+// next reads the client's next command, or what is wrong with what came in its place. An error says that the
+// connection has ended, be it by the gateway itself.
+func (c *client) next() (cmd redcon.Command, fault string, err error) {
 	for {
-		if len(c.standIn) > 0 {
-			n := copy(p, c.standIn)
-			c.standIn = c.standIn[n:]
-			return n, nil
-		}
-		if c.ready > 0 {
-			n := copy(p, c.buffer.Bytes()[:c.ready])
-			c.buffer.Drop(n)
-			c.ready -= n
-			return n, nil
-		}
-		if c.lost {
-			return 0, io.EOF
-		}
 		size, large, err := c.commands.Next(c.buffer)
-		if err != nil {
-			c.lost, c.standIn = true, protocol.BadFrame
-		} else if large {
-			c.standIn = protocol.TooLarge
-		} else {
-			c.ready = size
-		}
-		if len(c.standIn)+c.ready > 0 {
-			if !c.hold() { // it crossed the end
-				return 0, io.EOF
+		switch {
+		case err != nil:
+			c.lost, fault = true, "Protocol error"
+		case large:
+			fault = "a command is larger than 64 KiB"
+		case size > 0:
+			raw := bytes.Clone(c.buffer.Bytes()[:size])
+			c.buffer.Drop(size)
+			if cmd, err = redcon.Parse(raw); err != nil {
+				c.lost, fault = true, "Protocol error"
 			}
-		} else {
+		case !c.await():
+			c.lost, fault = true, "a command does not end"
+		default:
 			n, err := c.Conn.Read(c.buffer.Room())
 			c.buffer.Add(n)
-			if n == 0 && err != nil {
-				return 0, err
+			if late := net.Error(nil); n == 0 && err != nil && !(errors.As(err, &late) && late.Timeout()) {
+				return cmd, "", err
 			}
+			continue
+		}
+		c.begunAt = time.Time{}
+		if !c.hold() { // it crossed the end
+			return cmd, "", io.EOF
+		}
+		return cmd, fault, nil
+	}
+}
+
+// await sets until when the next bytes are waited for: a command that has begun is whole in a while, a first
+// one comes in a while. It ends a connection on which none does, and tells whether no command stops halfway.
+func (c *client) await() bool {
+	now := time.Now()
+	if len(c.buffer.Bytes()) > 0 || c.commands.Begun() {
+		if c.begunAt.IsZero() {
+			c.begunAt = now
 		}
+		c.SetReadDeadline(c.begunAt.Add(firstWithin))
+		return now.Before(c.begunAt.Add(firstWithin))
+	}
+	c.begunAt = time.Time{}
+	c.mu.Lock()
+	within, busy, since := quietFor, c.inHand > 0, c.activeAt
+	if !c.brought {
+		within = firstWithin
 	}
+	c.mu.Unlock()
+	if !busy && !now.Before(since.Add(within)) {
+		c.endQuiet(within, true, true)
+	}
+	if busy || !now.Before(since.Add(within)) {
+		since = now
+	}
+	c.SetReadDeadline(since.Add(within))
+	return true
 }
 
 // Close ends the connection.
@@ -269,14 +319,12 @@
 	return nil
 }
 
-// begin takes a connection over from redcon on its first command, so that a client that leaves is seen while
-// its command is in hand, and a listener that closes takes no connection along.
-func (f *Front) begin(conn redcon.Conn, first redcon.Command) {
-	c, detached := conn.NetConn().(*client), conn.Detach()
-	s := &session{client: c, conn: detached, answers: make(chan *Answer, inHandMost), left: make(chan struct{}),
-		cut: make(chan struct{})}
-	go s.write()
-	go s.read(first)
+// begin takes a connection over from redcon, so that a client that leaves is seen while its command is in
+// hand, and a listener that closes takes no connection along.
+func (f *Front) begin(conn redcon.Conn, _ redcon.Command) {
+	c := conn.NetConn().(*client)
+	conn.Detach()
+	go newSession(c).read()
 }
 
 // Drain closes the connections of clients as each has no command in hand. New ones are served all the same:
@@ -322,136 +370,18 @@
 	}
 }
 
-// closeIdle closes the connection that has been quiet for longest.
+// closeIdle closes a connection that has brought nothing, or else the one that has been quiet for longest.
 func (f *Front) closeIdle() bool {
-	return slices.ContainsFunc(f.all(), func(c *client) bool { return c.endQuiet(bringsWithin, true, false) })
-}
-
-// session is a client's connection once it has sent a command: its reader tells of commands and of the
-// client's leaving, its writer brings the answers in the order of the commands.
-type session struct {
-	client  *client
-	conn    redcon.DetachedConn
-	answers chan *Answer
-	left    chan struct{} // closed when the client has left
-	cut     chan struct{} // closed when no more answers go out
-}
-
-// Answer is the place of a command's final answer.
-type Answer struct {
-	once sync.Once
-	done chan struct{}
-	text net.Buffers
-	size int64 // of its command
+	all := f.all()
+	return slices.ContainsFunc(all, (*client).endNew) ||
+		slices.ContainsFunc(all, func(c *client) bool { return c.endQuiet(bringsWithin, true, false) })
 }
 
-func (a *Answer) end(parts ...[]byte) {
-	a.once.Do(func() {
-		a.text = parts
-		close(a.done)
+// crowded tells whether some have brought nothing yet: they will make room soon, by a command or their end.
+func (f *Front) crowded() bool {
+	return slices.ContainsFunc(f.all(), func(c *client) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.within && !c.brought
 	})
 }
-
-// Acked gives the value that an instance gave.
-func (a *Answer) Acked(value []byte) { a.end(protocol.BulkHead(len(value)), value, protocol.End) }
-
-// Nacked tells that trying again is harmless, and when to, if there is such a time.
-func (a *Answer) Nacked(after int64) { a.end(redcon.AppendError(nil, protocol.Refused(after))) }
-
-// Failed promises nothing.
-func (a *Answer) Failed() { a.end(redcon.AppendError(nil, protocol.Failed)) }
-
-// refuse answers what cannot be taken as a command.
-func (f *Front) refuse(a *Answer, why string) {
-	a.end(redcon.AppendError(nil, "ERR "+why))
-	f.complaints.Complain("a client sent what cannot be taken", "cause", why)
-}
-
-func (s *session) read(cmd redcon.Command) {
-	var inHand []*Answer
-	for err := error(nil); err == nil; cmd, err = s.conn.ReadCommand() {
-		a := &Answer{done: make(chan struct{}), size: int64(len(cmd.Raw))}
-		s.client.front.room.Acquire(context.Background(), a.size) // others' answers make room
-		select {
-		case s.answers <- a:
-		case <-s.cut:
-			s.client.front.room.Release(a.size)
-		}
-		inHand = append(slices.DeleteFunc(inHand, (*Answer).isDone), a)
-		s.client.front.command(cmd, a, s.client.admit())
-	}
-	close(s.answers)
-	if s.client.lost {
-		return // the client is there and is owed its answers
-	}
-	close(s.left)
-	for _, a := range inHand {
-		if !a.isDone() {
-			s.client.front.gone(a)
-		}
-	}
-}
-
-func (a *Answer) isDone() bool {
-	select {
-	case <-a.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// command takes one command in. One for which there is no room has no time left: it gets its final answer.
-func (f *Front) command(cmd redcon.Command, a *Answer, room bool) {
-	switch name := strings.ToUpper(string(cmd.Args[0])); name {
-	case "API.READ", "API.WRITE":
-		op, key, left, again, err := protocol.Decode(cmd.Args, f.ops)
-		if err != nil {
-			f.refuse(a, err.Error())
-			return
-		}
-		if !room {
-			left = 0
-		}
-		f.take(op, key, min(left, f.longest), again, a)
-	case "PING":
-		a.end(redcon.AppendString(nil, "PONG"))
-	case "TOO.LARGE":
-		f.refuse(a, "a command is larger than 64 KiB")
-	case "BAD.FRAME":
-		f.refuse(a, "Protocol error")
-	default:
-		f.refuse(a, "unknown command")
-	}
-}
-
-// write brings the answers out until the client has left or takes none.
-func (s *session) write() {
-	defer func() {
-		close(s.cut)
-		s.client.Close()
-		for a := range s.answers { // until the reader has seen the end
-			s.client.front.room.Release(a.size)
-		}
-	}()
-	for a := range s.answers {
-		ok := s.bring(a)
-		s.client.front.room.Release(a.size)
-		if !ok {
-			return
-		}
-		s.client.free()
-	}
-}
-
-// bring waits for an answer and writes it; it tells whether the client took it.
-func (s *session) bring(a *Answer) bool {
-	select {
-	case <-a.done:
-	case <-s.left:
-		return false
-	}
-	s.client.SetWriteDeadline(time.Now().Add(answerFor))
-	_, err := a.text.WriteTo(s.client.Conn)
-	return err == nil
-}
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -14,7 +14,7 @@
 // Instances carries deliveries to instances. A connection has one delivery in work at a time, so that no
 // answer waits behind another and giving up costs no other delivery.
 type Instances struct {
-	budget        *Budget
+	share         *Share
 	complaints    *Complaints
 	connectWithin time.Duration
 	idleFor       time.Duration
@@ -30,8 +30,8 @@
 
 // NewInstances takes how long a connection may take to come up and how long it may stand idle.
 func NewInstances(budget *Budget, complaints *Complaints, connectWithin, idleFor time.Duration) *Instances {
-	in := &Instances{budget: budget, complaints: complaints, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
-	budget.join(in)
+	in := &Instances{complaints: complaints, connectWithin: connectWithin, idleFor: idleFor, idle: map[string][]*link{}}
+	in.share = budget.join(in, instancesPart)
 	return in
 }
 
@@ -122,13 +122,13 @@
 
 // open brings a connection up for a delivery.
 func (in *Instances) open(address string, s *Sending) {
-	if !in.budget.take(in) {
+	if !in.share.take() {
 		s.end(choice.Unsent, nil, nil)
 		return
 	}
 	conn, err := net.DialTimeout("tcp", address, in.connectWithin)
 	if err != nil {
-		in.budget.give()
+		in.share.give()
 		s.end(choice.Unconnected, nil, nil)
 		return
 	}
@@ -266,7 +266,7 @@
 	}
 	l.in.forget(l)
 	l.conn.Close()
-	l.in.budget.give()
+	l.in.share.give()
 	if s == nil {
 		return
 	}
