--- a/choice/choice.go
+++ b/choice/choice.go
@@ -350,7 +350,8 @@
 			continue
 		}
 		there += g.able(now-it.startedAt) * g.power(it)
-		if g.settled(it, now) && now-it.toldAt < busyFresh { // one that nobody reaches says the same for ever
+		// One that nobody reaches says the same for ever; one warm only since a moment shows the whole interval's work.
+		if g.settled(it, now-poolEvery) && now-it.toldAt < busyFresh {
 			it.worked += it.busy * g.even(it)
 		}
 		fresh := it.startedAt > 0 && now-it.startedAt <= g.cold.warm+g.cold.span
@@ -565,9 +566,7 @@
 	if how == Acked || how == Errored || how == Rejected {
 		to.heardAt = now
 	}
-	if how == Acked {
-		to.saw(1, 0, now)
-	} else if how != Rejected && how != Unsent && !dl.missed {
+	if how != Acked && how != Rejected && how != Unsent && !dl.missed {
 		to.saw(0, 1, now)
 	}
 	if how != Errored && how != Rejected && how != Unsent {
@@ -575,11 +574,11 @@
 	}
 	if how == Unconnected || how == Broken {
 		g.unmet += 0.1 * (1 - g.unmet)
-	} else if how == Acked {
-		g.unmet *= 0.9
 	}
 	switch how {
 	case Acked:
+		g.unmet *= 0.9
+		to.saw(1, 0, now)
 		to.acked.add(now, g.cold.span)
 		to.failing *= 0.85
 		if to.failing < failingAside { // a machine that fails most and answers some stays on probation
@@ -721,23 +720,18 @@
 	return phi*math.Log(phi) - (phi+n)*math.Log(phi+l) + a - b + l
 }
 
-// pair is the test's product over both builds, in logarithms; it speaks against the trial only where the
-// trial fails above its L.
-func pair(trialFails, lt, baseFails, lb float64) float64 {
-	e := product(trialFails, lt) + product(baseFails, lb)
-	if trialFails <= lt {
-		return min(e, 0)
-	}
-	return e
-}
-
-// joint gives the pair's product where L is attempts times the joint failure rate. No attempts give 1.
+// joint is the test's product over both builds, in logarithms, where L is attempts times the joint failure
+// rate; it speaks against the trial only where the trial fails above its L. No attempts give 1.
 func joint(trialTries, trialFails, baseTries, baseFails float64) float64 {
 	if trialTries == 0 || baseTries == 0 {
 		return 0
 	}
 	rate := (trialFails + baseFails) / (trialTries + baseTries)
-	return pair(trialFails, trialTries*rate, baseFails, baseTries*rate)
+	e := product(trialFails, trialTries*rate) + product(baseFails, baseTries*rate)
+	if trialFails <= trialTries*rate {
+		return min(e, 0)
+	}
+	return e
 }
 
 // attempts is joint where the trial fails enough more: so small a difference is not worth a way back
@@ -854,7 +848,9 @@
 		wait = blindWait
 	}
 	latest, all := g.latestStart()
-	if latest > 0 && now-max(latest, j.stageAt) >= wait && (all || now-j.stageAt > unlistedFor) {
+	if over := max(latest, j.stageAt) + wait; latest > 0 && now < over {
+		j.lookAt = over
+	} else if latest > 0 && (all || now-j.stageAt > unlistedFor) {
 		return VoteOn
 	}
 	return VoteNone
@@ -908,8 +904,11 @@
 		j.totalsAt = now + poolEvery
 		g.recall(now)
 		g.pool(now, &due)
+	} else if now >= j.lookAt { // the wait before 'on' is over
+		j.lookAt = math.MaxInt64
+		g.vote(g.opinion(now), now, &due)
 	}
-	until = min(until, g.judge.totalsAt)
+	until = min(until, g.judge.totalsAt, g.judge.lookAt)
 	return max(until-now, g.tick), due
 }
 
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -387,7 +387,7 @@
 	g.exposure.pinned = map[uint64]int{}
 	g.exposure.seen = map[uint64]int{}
 	g.exposure.build = -1
-	g.cold.lack, g.pace, g.window = 1, 1, math.Inf(1)
+	g.cold.lack, g.pace, g.window, g.judge.lookAt = 1, 1, math.Inf(1), math.MaxInt64
 	g.judge.heard = make([]*Totals, g.peers)
 	return g
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -365,6 +365,7 @@
 	stageAt  int64 // when the present stage was first heard of
 	listed   bool  // the present stage was, in full
 	totalsAt int64 // when totals are next due
+	lookAt   int64 // when the wait before 'on' is over, far off where none is
 	against  bool  // the product has reached its level
 	clearAt  int64 // when it last had not
 	vote     Vote  // the last one cast
