--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,8 @@
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
 	// Health.
-	patience     = 6.0      // a delivery is overdue after this many mean times
+	patience     = 6.0      // a delivery is overdue after this many mean times without a sign of life,
+	patienceAll  = 12.0     // or after fewer where all at its instance together have waited for this many
 	silentLeast  = 3        // deliveries to a machine within a trial span that make its silence tell
 	asideFirst   = 300 * ms // an instance set aside is tried again after this, doubled at each further failure
 	asideMost    = 5 * s
@@ -483,15 +484,21 @@
 		float64(e.seen[cmd.key]-1) <= 0.1*e.cap*float64(e.all)
 }
 
-// overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back
-// since.
+// overdue: our deliveries there have been out for far longer than their kinds take, and nothing came back
+// since. Answers that take their time each by itself stay away so long together no sooner than from one alone;
+// guards against machines that fall silent with several of ours, in time to deliver elsewhere.
 func (g *Gateway) overdue(it *Instance, now int64) bool {
-	return len(it.open) > 0 && now >= g.overdueAt(it.open[0])
+	return len(it.open) > 0 && now >= g.overdueAt(it)
 }
 
-// overdueAt is when a delivery becomes overdue if nothing comes back from its instance.
-func (g *Gateway) overdueAt(dl *Delivery) int64 {
-	return max(dl.sentAt, dl.To.heardAt) + int64(patience*dl.Cmd.op.mean)
+// overdueAt is when an instance becomes overdue if nothing comes back from it.
+func (g *Gateway) overdueAt(it *Instance) int64 {
+	first, waits, rate := it.open[0], patienceAll, 0.0
+	for _, dl := range it.open {
+		waits += float64(max(dl.sentAt, it.heardAt)-first.sentAt) / dl.Cmd.op.mean
+		rate += 1 / dl.Cmd.op.mean
+	}
+	return min(max(first.sentAt, it.heardAt)+int64(patience*first.Cmd.op.mean), first.sentAt+int64(waits/rate))
 }
 
 // tendIll tells which machines most gateways lose deliveries at: one gateway among hundreds meets a machine
@@ -951,12 +958,12 @@
 	if len(it.open) == 0 {
 		return now + 10*s
 	}
-	if at := g.overdueAt(it.open[0]); now < at {
+	if at := g.overdueAt(it); now < at {
 		return at
 	}
 	for _, dl := range it.open {
 		cmd := dl.Cmd
-		if now < g.overdueAt(dl) {
+		if now < max(dl.sentAt, it.heardAt)+int64(cmd.op.mean) { // it has not had its time
 			continue
 		}
 		if !dl.missed {
