--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,8 +56,7 @@
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
 	// Health.
-	patience     = 6.0      // a delivery is overdue after this many mean times without a sign of life,
-	patienceAll  = 12.0     // or after fewer where all at its instance together have waited for this many
+	patience     = 6.0      // a delivery is overdue after this many mean times
 	silentLeast  = 3        // deliveries to a machine within a trial span that make its silence tell
 	asideFirst   = 300 * ms // an instance set aside is tried again after this, doubled at each further failure
 	asideMost    = 5 * s
@@ -350,8 +349,10 @@
 		if !it.ready {
 			continue
 		}
-		there += g.able(now-it.startedAt) * g.power(it)
-		// One that nobody reaches says the same for ever; one warm only since a moment shows the whole interval's work.
+		if it.strikes == 0 { // from the others nothing is to be had
+			there += g.able(now-it.startedAt) * g.power(it)
+		}
+		// One that nobody reaches says the same for ever; one just warm shows the work of the whole interval.
 		if g.settled(it, now-poolEvery) && now-it.toldAt < busyFresh {
 			it.worked += it.busy * g.even(it)
 		}
@@ -397,10 +398,10 @@
 	open, power := g.openElsewhere()
 	for _, it := range g.instances {
 		on := g.onTrial(it.build)
-		if on && !(pin && g.headroom(it, open, power, now)) || !g.allowed(cmd, it, now) {
+		if on && !pin || !g.allowed(cmd, it, now) {
 			continue
 		}
-		room := float64(len(it.open)) < it.limit
+		room := float64(len(it.open)) < it.limit && !(on && !g.headroom(it, open, power, now))
 		sound := !g.doubted(it, now) && !((it.strikes > 0 || now < it.illUntil) && cmd.op.kind == AtMostOnce)
 		switch {
 		case sound && !room:
@@ -484,21 +485,15 @@
 		float64(e.seen[cmd.key]-1) <= 0.1*e.cap*float64(e.all)
 }
 
-// overdue: our deliveries there have been out for far longer than their kinds take, and nothing came back
-// since. Answers that take their time each by itself stay away so long together no sooner than from one alone;
-// guards against machines that fall silent with several of ours, in time to deliver elsewhere.
+// overdue: our oldest delivery there has been out for far longer than its kind takes, and nothing came back
+// since.
 func (g *Gateway) overdue(it *Instance, now int64) bool {
-	return len(it.open) > 0 && now >= g.overdueAt(it)
+	return len(it.open) > 0 && now >= g.overdueAt(it.open[0])
 }
 
-// overdueAt is when an instance becomes overdue if nothing comes back from it.
-func (g *Gateway) overdueAt(it *Instance) int64 {
-	first, waits, rate := it.open[0], patienceAll, 0.0
-	for _, dl := range it.open {
-		waits += float64(max(dl.sentAt, it.heardAt)-first.sentAt) / dl.Cmd.op.mean
-		rate += 1 / dl.Cmd.op.mean
-	}
-	return min(max(first.sentAt, it.heardAt)+int64(patience*first.Cmd.op.mean), first.sentAt+int64(waits/rate))
+// overdueAt is when a delivery becomes overdue if nothing comes back from its instance.
+func (g *Gateway) overdueAt(dl *Delivery) int64 {
+	return max(dl.sentAt, dl.To.heardAt) + int64(patience*dl.Cmd.op.mean)
 }
 
 // tendIll tells which machines most gateways lose deliveries at: one gateway among hundreds meets a machine
@@ -754,13 +749,9 @@
 // products keeps the level alpha, so a look at each op type and at work is paid for. Beside it, work alone.
 func (g *Gateway) evidence() (all, work float64) {
 	j := &g.judge
-	sum := slices.Clone(j.own)
-	for _, t := range j.heard {
-		if t != nil && t.Build == j.build {
-			for i, n := range t.Cells {
-				sum[i] += n
-			}
-		}
+	sum := g.pooled()
+	if j.before == nil {
+		j.before = slices.Clone(sum)
 	}
 	margin := min(failLeast, failHarm*j.lag/max(j.harm, 1e-9))
 	var tt, tf, bt, bf, tw, bw float64
@@ -769,7 +760,12 @@
 		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
 		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
 		tw, bw = tw+float64(t[2])/2, bw+float64(b[2])/2
-		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1]), margin))
+		// Beside all of the trial's tries those since its stage or its release: guards against builds that begin
+		// to fail once their machines have run for a while, which many clean tries would hide.
+		was := j.before[g.cell(true, op):]
+		tries, fails := max(0, float64(t[0])-float64(was[0])), float64(t[1])-float64(was[1])
+		logs = append(logs, attempts(float64(t[0]), float64(t[1]), float64(b[0]), float64(b[1]), margin),
+			attempts(tries, fails, float64(b[0]), float64(b[1]), margin))
 	}
 	// Slowness by work, counted in commands of the earlier build, where machines tell how busy they are: it
 	// tells a slow build from queues, which load, cold keys and bursts make as well. It says nothing once few
@@ -868,13 +864,7 @@
 // build kills its machines slowly: it moves on with fewer.
 func (g *Gateway) latestStart() (latest int64, all bool) {
 	e, j := &g.exposure, &g.judge
-	shown := 0
-	for _, it := range g.instances {
-		if it.ready && it.build == e.build {
-			latest = max(latest, it.firstAt)
-			shown++
-		}
-	}
+	latest, shown := g.starts(e.build)
 	j.listed = j.listed || e.stage >= len(j.shares) ||
 		float64(shown) >= math.Ceil(j.shares[e.stage]*float64(g.list.places)-0.01)
 	return latest, j.listed
@@ -958,12 +948,12 @@
 	if len(it.open) == 0 {
 		return now + 10*s
 	}
-	if at := g.overdueAt(it); now < at {
+	if at := g.overdueAt(it.open[0]); now < at {
 		return at
 	}
 	for _, dl := range it.open {
 		cmd := dl.Cmd
-		if now < max(dl.sentAt, it.heardAt)+int64(cmd.op.mean) { // it has not had its time
+		if now < g.overdueAt(dl) {
 			continue
 		}
 		if !dl.missed {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// Socket bench, heavy traffic: a build that began to fail after its release stayed, as thousands of clean tries hid
+// ten failures.
+func TestFailsSinceItsRelease(t *testing.T) {
+	w := started(newWorld(9, ControlAny), 8)
+	w.g.ToldStage(2, 2, OnTrial, 1, 0, w.now)
+	w.list(8, w.now-20*s, 2)
+	w.instances[0].block[0] = [cellKinds]uint32{1500, 1, 0}
+	for step, tries := range []uint32{4000, 4000, 4225} { // on trial, released, later
+		if step == 1 {
+			w.g.ToldStage(2, 2, Released, 1, 0, w.now)
+		}
+		w.instances[8].block[0] = [cellKinds]uint32{tries, (tries - 4000) / 22, 0}
+		w.g.fold(w.now)
+		if all, _ := w.g.evidence(); (all >= math.Log(1/alpha)) != (step == 2) {
+			t.Errorf("step %d: e^%.1f against the build", step, all)
+		}
+	}
+}
+
 // A build that fails 15 commands in a thousand goes back where failing effects is dear, and stays where being
 // behind costs as much.
 func TestMarginFollowsPrices(t *testing.T) {
@@ -290,6 +309,35 @@
 	}
 }
 
+// Socket bench, spoilt answers and a hang: with all machines on trial, those in good order had no room within their
+// share, and commands went to silent ones as the only others. They wait, and the share counts the silent ones as gone.
+func TestNoRoomIsNoDoubt(t *testing.T) {
+	w := started(newWorld(8, ControlAny), 0)
+	w.list(8, 0, 2)
+	w.g.ToldStage(2, 2, OnTrial, 1, 0, w.now)
+	w.most = 1
+	for range 4 * s / (20 * ms) {
+		w.now += 20 * ms
+		w.take(0, 0)
+		w.finish(20 * ms)
+	}
+	before := w.g.cold.lack
+	for _, it := range w.instances[:3] {
+		w.g.aside(it, w.now)
+		it.asideUntil = w.now + 60*s
+	}
+	for range 100 {
+		w.now += 20 * ms
+		if w.take(0, 0); w.last.Act == Send && w.last.To.strikes > 0 {
+			t.Fatal("sent to a machine in doubt beside others that are full")
+		}
+		w.finish(20 * ms)
+	}
+	if w.g.recall(w.now); w.g.cold.lack < 1.2*before {
+		t.Errorf("with three of eight in doubt the others may have %.2f of their share, %.2f before", w.g.cold.lack, before)
+	}
+}
+
 // Socket bench, churn, long day and reload: trial machines that became warm just before the totals were due showed the
 // work of the whole interval beside the few commands since, and good builds went back.
 func TestWorkBeginsWithAnswers(t *testing.T) {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -72,6 +72,30 @@
 	return n
 }
 
+// starts gives the latest start of a build's ready machines, and how many there are.
+func (g *Gateway) starts(build int) (latest int64, shown int) {
+	for _, it := range g.instances {
+		if it.ready && it.build == build {
+			latest = max(latest, it.firstAt)
+			shown++
+		}
+	}
+	return latest, shown
+}
+
+// pooled sums the totals of all gateways on the build.
+func (g *Gateway) pooled() []uint32 {
+	sum := slices.Clone(g.judge.own)
+	for _, t := range g.judge.heard {
+		if t != nil && t.Build == g.judge.build {
+			for i, n := range t.Cells {
+				sum[i] += n
+			}
+		}
+	}
+	return sum
+}
+
 func (g *Gateway) cells() int { return 2 * len(g.ops) * cellKinds }
 
 func (g *Gateway) cell(trial bool, op *OpType) int {
@@ -166,7 +190,7 @@
 	}
 	if build != e.build || stage != e.stage || phase != e.phase {
 		j.stageAt = now - since
-		j.againAt, j.listed = 0, false
+		j.againAt, j.listed, j.before = 0, false, nil
 		if j.own != nil && phase == OnTrial {
 			// The fleet against before: what was clean at a smaller stage says little.
 			j.fleet, j.fresh = [2]float64{}, nil
@@ -206,7 +230,7 @@
 	j.workWas, j.work = [2]float64{}, [2]float64{}
 	j.pastWork, j.past, j.fleet = [2]float64{}, make([]uint32, g.cells()), [2]float64{}
 	j.own = make([]uint32, g.cells())
-	j.vote, j.againAt = Vote{}, 0
+	j.vote, j.againAt, j.before = Vote{}, 0, nil
 }
 
 // ToldTotals tells a peer's running totals; the latest of each sender stands.
--- a/choice/state.go
+++ b/choice/state.go
@@ -341,6 +341,7 @@
 
 	build    int // the build under judgement, 0 for none
 	own      []uint32
+	before   []uint32     // all totals when the stage began, or the release, were first looked at
 	past     []uint32     // of it, what machines showed that have left
 	work     [2]float64   // busy time by the machines' own figures: trial, earlier builds
 	workWas  [2]float64   // the same when totals were last due
