--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -28,15 +28,17 @@
 }
 
 const (
-	graceAfterWait = 2 * time.Second        // after its wait an answer may still come
-	wholeWithin    = 500 * time.Millisecond // an answer that has begun is whole, or is never
-	keepAgain      = time.Second            // after a failed call
+	waitMost       = 3 * time.Second         // a call that goes unanswered tells so no sooner than after its wait
+	graceAfterWait = 1500 * time.Millisecond // after its wait an answer may still come
+	wholeWithin    = 500 * time.Millisecond  // an answer that has begun is whole, or is never
+	keepAgain      = time.Second             // after a failed call
 )
 
-// NewDiscovery takes the address, how long one call waits for changes, the revision that is known, and whom
+// NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
 func NewDiscovery(address string, wait time.Duration, revision int64,
 	told func(text []byte) (revision int64, err error), failed func(error)) *Discovery {
+	wait = min(wait, waitMost)
 	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
 			Timeout: wait + graceAfterWait}}
