--- a/choice/choice.go
+++ b/choice/choice.go
@@ -349,9 +349,7 @@
 		if !it.ready {
 			continue
 		}
-		if it.strikes == 0 { // from the others nothing is to be had
-			there += g.able(now-it.startedAt) * g.power(it)
-		}
+		there += g.able(now-it.startedAt) * g.power(it)
 		// One that nobody reaches says the same for ever; one just warm shows the work of the whole interval.
 		if g.settled(it, now-poolEvery) && now-it.toldAt < busyFresh {
 			it.worked += it.busy * g.even(it)
