--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,7 @@
 	heardLeast  = 3         // of the gateways one in so many must be heard, or a voter is blind
 	blindWait   = 6 * s     // a blind one votes 'on' this late
 	blindHarm   = 0.05      // and only if being behind costs this share of what harm does
-	caseHolds   = 2500 * ms // a case must stand so long once few earlier machines are left
+	caseHolds   = 1000 * ms // a case must stand so long once few earlier machines are left
 	holdLevel   = 4.0       // under a clock a back vote is kept while the product stays above this
 	unlistedFor = 12 * s    // by then a stage is judged by the machines that the list shows
 	slowAlone   = 0.4       // more margin, shared by the trial machines: one alone may be a slow machine
