--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // How this module is called. A gateway is made by New and told its deployment's figures part by part
 // (OpType, Tenant, Bound, Price, Chill, Follow, Expose, Judge). Facts are told to it: Take (a command
 // came), ToldInstance, ToldOnly, ToldListFailed, ToldListEnd, ToldStage, ToldVote, ToldTotals, ToldFinding,
-// ToldLoad, ToldProbe, ToldWrong, ToldFlowing, ToldGone. It is asked three things: Where (to send this
+// ToldLoad, ToldWrong, ToldFlowing, ToldGone. It is asked three things: Where (to send this
 // command, or not yet, or never), After (what to do after this outcome) and Wait (how long until it is to be
 // asked again, with the chores that are due). All that is remembered is in state.go, plain intake in
 // parts.go; docs/design.md gives the reasons. Times are whole nanoseconds.
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -114,13 +114,6 @@
 	it.busy, it.toldAt, it.fresh = busy, now, true
 }
 
-// ToldProbe tells how a probe ended.
-func (g *Gateway) ToldProbe(it *Instance, how Outcome, took, now int64) {
-	if how == Acked {
-		it.heardAt = now
-	}
-}
-
 // ToldFlowing tells that an answer has begun to stream: it belongs to the client from here on.
 func (g *Gateway) ToldFlowing(dl *Delivery, now int64) {
 	dl.To.heardAt = now
--- a/choice/state.go
+++ b/choice/state.go
@@ -105,7 +105,6 @@
 	Voters  []int       // numbers of gateways
 	Finding *Finding    // to be told to all other gateways
 	Watch   bool        // ask the list for its changes
-	Probe   []*Instance // instances to probe
 	Cancel  []*Delivery // deliveries to call off
 }
 
--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -180,9 +180,6 @@
 	return op, key, id, left, again, nil
 }
 
-// AskLoad is the command that asks an instance for its load.
-func AskLoad(int64) []byte { return []byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n") }
-
 // BulkHead and End stand around a value.
 func BulkHead(size int) []byte { return []byte("$" + strconv.Itoa(size) + "\r\n") }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -69,7 +69,7 @@
 	out    map[*choice.Delivery]*flight
 }
 
-// flight is a delivery that is out, or a probe.
+// flight is a delivery that is out.
 type flight struct {
 	of     *inHand
 	dl     *choice.Delivery
@@ -317,9 +317,6 @@
 	if due.Watch {
 		r.outside.Watch()
 	}
-	for _, it := range due.Probe {
-		r.probe(it, now)
-	}
 	for _, dl := range due.Cancel {
 		if c := r.commands[dl.Cmd]; c != nil && c.out[dl] != nil {
 			r.giveUp(c.out[dl], choice.Withdrawn, now)
@@ -341,19 +338,6 @@
 	return wait
 }
 
-// probe asks an instance for its load.
-func (r *Router) probe(it *choice.Instance, sentAt int64) {
-	r.outside.Send(r.known[it].address, time.Now().Add(time.Second), protocol.AskLoad,
-		func(how choice.Outcome, _, load []byte) {
-			r.events <- func(now int64) {
-				if busy, ok := protocol.Load(load, r.busy); ok {
-					r.gateway.ToldLoad(it, busy, now)
-				}
-				r.gateway.ToldProbe(it, how, now-sentAt, now)
-			}
-		})
-}
-
 // tidy lets go of the client of a command that is over, and of the command once nothing of it is out.
 func (r *Router) tidy(c *inHand) {
 	if !c.cmd.Ended {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -232,6 +232,9 @@
 					m.left = w.now
 				case m.phase == "up" && m.left > 0:
 					m.left, m.started = 0, w.now
+					if w.dice.IntN(2) == 0 {
+						m.build = w.build // the id and its address return with another build
+					}
 				}
 				w.list(false, *m)
 			case 1: // one of the newest build comes
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -94,7 +94,9 @@
 		}
 		if fault != "" {
 			f.refuse(a, fault)
-			time.Sleep(faultPause)
+			if !c.lost {
+				time.Sleep(faultPause)
+			}
 		}
 	}
 	close(s.answers)
