--- a/internal/protocol/command.go
+++ b/internal/protocol/command.go
@@ -140,10 +140,10 @@
 		name, value, _ := strings.Cut(one, "=")
 		switch name {
 		case "c":
-			if op != nil || ops[asks(string(args[0]), value)] == nil {
+			had := op
+			if op = ops[asks(string(args[0]), value)]; op == nil || had != nil {
 				return no("unknown op type")
 			}
-			op = ops[asks(string(args[0]), value)]
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
 			if err != nil || !(ms > 0) || strings.Trim(value, "0123456789.") != "" || into == &after {
--- a/internal/transport/desk.go
+++ b/internal/transport/desk.go
@@ -16,7 +16,7 @@
 	within time.Duration
 	told   func(build, stage int, phase choice.Phase, most float64, since int64)
 	voted  func(how choice.Outcome)
-	state  func(address string, why error)
+	state  func(address string, why error) // without a reason it is heard
 	votes  chan choice.Vote
 	moved  chan struct{} // holds one once the address has changed
 	number int           // of the last call
@@ -78,20 +78,19 @@
 // Run keeps the connection until the context ends. One that was heard is replaced soon, one after another
 // that is not, later each time.
 func (d *Desk) Run(ctx context.Context) {
-	for pause := deskAgain; ctx.Err() == nil; pause = min(2*pause, deskMost) {
+	for pause := deskAgain; ctx.Err() == nil; {
 		number := d.number + 1
 		address := d.at()
 		conn, err := (&net.Dialer{Timeout: deskWithin}).DialContext(ctx, "tcp", address)
 		if err == nil {
 			err = d.serve(ctx, address, conn)
 		}
+		if err == nil || d.heard >= number {
+			pause = deskAgain
+		}
 		if err == nil { // left for another address
-			pause = deskAgain / 2
 			continue
 		}
-		if d.heard >= number {
-			pause = deskAgain
-		}
 		d.state(address, err)
 		again := time.After(pause)
 		for waiting := true; waiting; {
@@ -106,6 +105,7 @@
 				return
 			}
 		}
+		pause = min(2*pause, deskMost)
 	}
 }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -104,11 +104,9 @@
 }
 
 // call makes one call of a watch and tells what it brought. An answer that begins and does not end is given
-// up soon: the connection may stand for ever.
+// up soon: the connection may stand for ever. To leave a call that has ended does nothing.
 func (d *Discovery) call(ctx context.Context, leave context.CancelFunc, address string) error {
-	late := time.AfterFunc(d.client.Timeout, leave)
-	defer late.Stop()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { late.Reset(wholeWithin) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { time.AfterFunc(wholeWithin, leave) }})
 	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, d.wait.Milliseconds())
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -50,8 +50,8 @@
 }
 
 // NewFront takes how many bytes of commands may be in hand, the longest time for which a client is taken to
-// wait, the op types by their names, and whom to tell of a command and of a client that left before its
-// answer.
+// wait, the op types by the words that ask for them, and whom to tell of a command and of a client that left
+// before its answer.
 func NewFront(budget *Budget, complaints *Complaints, room, longest int64, ops map[string]*choice.OpType,
 	take func(op *choice.OpType, key uint64, id string, left int64, again func(within int64) []byte, to *Answer),
 	gone func(to *Answer)) *Front {
@@ -87,8 +87,7 @@
 	}
 }
 
-// door is the listener that redcon accepts from: its connections count against the budget and carry whole
-// commands only.
+// door is the listener that redcon accepts from: its connections count against the budget.
 type door struct {
 	net.Listener
 	front *Front
@@ -162,7 +161,7 @@
 	buffer   *protocol.Buffer
 	commands protocol.Commands
 	greeted  bool      // redcon has been handed what it passes the connection on for
-	begunAt  time.Time // when the first byte of the command that is not whole came; zero if there is none
+	begunAt  time.Time // when a command that is not whole was first met; zero if there is none
 	lost     bool      // its framing
 
 	mu       sync.Mutex
@@ -310,23 +309,25 @@
 		if c.begunAt.IsZero() {
 			c.begunAt = now
 		}
-		c.SetReadDeadline(c.begunAt.Add(firstWithin))
-		return now.Before(c.begunAt.Add(firstWithin))
+		over := c.begunAt.Add(firstWithin)
+		c.SetReadDeadline(over)
+		return now.Before(over)
 	}
-	c.begunAt = time.Time{}
 	c.mu.Lock()
-	within, busy, since := quietFor, c.inHand > 0, c.activeAt
+	within, since := quietFor, c.activeAt
 	if !c.brought {
 		within = firstWithin
 	}
+	if c.inHand > 0 {
+		since = now
+	}
 	c.mu.Unlock()
-	if !busy && !now.Before(since.Add(within)) {
+	over := since.Add(within)
+	if !now.Before(over) {
 		c.endQuiet(within, true, true)
+		over = now.Add(within)
 	}
-	if busy || !now.Before(since.Add(within)) {
-		since = now
-	}
-	c.SetReadDeadline(since.Add(within))
+	c.SetReadDeadline(over)
 	return true
 }
 
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -18,8 +18,8 @@
 	faultPause = 100 * time.Millisecond // what a client brings next after a fault of its own is read this late
 )
 
-// session is a client's connection once it has sent a command: its reader tells of commands and of the
-// client's leaving, its writer brings the answers in the order of the commands.
+// session is a client's connection: its reader tells of commands and of the client's leaving, its writer, from
+// the first command on, brings the answers in the order of the commands.
 type session struct {
 	client  *client
 	answers chan *Answer
