--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,6 +55,12 @@
 	meanStart   = 0.25      // of the service target: taken for a mean time before there is one
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
+	// The list.
+	askEach  = 10 * ms  // of the fleet's gateways: their first calls to the list spread over so long together,
+	askFirst = 2 * s    // but no longer than this
+	askAgain = 200 * ms // after a failed call, doubled at each further one, and as much more by lot
+	askMost  = 1600 * ms
+
 	// Health.
 	patience     = 6.0      // a delivery is overdue after this many mean times
 	silentLeast  = 3        // deliveries to a machine within a trial span that make its silence tell
@@ -253,6 +259,15 @@
 	return to.listed && to.ready && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
 }
 
+// Stands tells whether a delivery of which nothing has gone out may still go: not once its client has left, its
+// instance drains, is gone or runs another build, or a trial's cap has come down to nothing. Guards against
+// connections that come up late; a lower cap above nothing binds later, with the window.
+func (g *Gateway) Stands(dl *Delivery) bool {
+	to := dl.To
+	return !dl.Cmd.Ended && to.listed && to.ready && to.build == dl.build &&
+		!(g.onTrial(dl.build) && dl.build <= g.exposure.build && g.exposure.cap <= 0)
+}
+
 // harmless: no effect twice.
 func (g *Gateway) harmless(cmd *Command, to *Instance, now int64) bool {
 	if cmd.op.kind == Redeliverable {
@@ -633,12 +648,14 @@
 	}
 }
 
-// ToldListFailed: a call to the list failed or its watch broke; it is asked again, later each time.
+// ToldListFailed: a call to the list failed or its watch broke; it is asked again, later each time. All watches
+// break at once when the list goes down: a lot as long as the pause itself keeps the fleet from calling in step.
 func (g *Gateway) ToldListFailed(now int64) {
 	if g.list.mustAsk {
 		g.list.tries++
 		g.list.due = true
-		g.list.askAt = now + 200*ms<<min(g.list.tries, 4) + int64(g.draw(300))*ms
+		pause := min(askMost, askAgain<<min(g.list.tries, 10))
+		g.list.askAt = now + pause + int64(g.draw(int(pause/ms)))*ms
 	}
 }
 
@@ -875,6 +892,9 @@
 	if g.startedAt == 0 {
 		g.startedAt = now - ms
 		g.judge.totalsAt = now + int64(g.draw(int(poolEvery/ms)))*ms // gateways take turns at the voters
+		if g.list.mustAsk {
+			g.list.askAt = now + int64(g.draw(int(min(askFirst, int64(g.peers)*askEach)/ms)))*ms
+		}
 	}
 	for i, cmd := range g.held {
 		// The head of the queue, and whoever's time is about to run out.
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -48,6 +48,9 @@
 	j.answerIn, j.messages = answerIn, messages && g.peers > 1
 }
 
+// Ready tells whether the list names an instance as one that takes deliveries.
+func (g *Gateway) Ready(it *Instance) bool { return it.listed && it.ready }
+
 func (g *Gateway) unhold(cmd *Command) {
 	if !cmd.held {
 		return
@@ -126,6 +129,12 @@
 	g.unhold(cmd)
 }
 
+// Hasten brings the last moment for a command's answer forward: the gateway ends before its client gives up.
+func (g *Gateway) Hasten(cmd *Command, lastAnswer int64) {
+	cmd.lastAnswer = min(cmd.lastAnswer, lastAnswer)
+	cmd.target = min(cmd.target, lastAnswer)
+}
+
 // ToldInstance tells one line of the list.
 func (g *Gateway) ToldInstance(it *Instance, ready, present bool, build, zone, model, cell int, size float64,
 	startedAt, now int64) {
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -22,21 +22,24 @@
 )
 
 const (
-	servesOn    = 700 * time.Millisecond // after SIGTERM: clients may still connect for 0.4 s
-	endsWithin  = 2 * time.Second        // after the longest time that a client waits
-	memoryShare = 0.7                    // of the limit: where the runtime begins to collect in earnest
-	handShare   = 0.25                   // of the limit: commands in hand, whose values may be as large again
+	servesOn = 700 * time.Millisecond // after SIGTERM: clients may still connect for 0.4 s
+	// The platform kills a program that is to end no sooner than so long after servesOn, or than a client waits if
+	// that is less: what it finds unanswered is lost. All is answered a little before.
+	killedAfter = 3 * time.Second
+	killMargin  = 300 * time.Millisecond
+	memoryShare = 0.7  // of the limit: where the runtime begins to collect in earnest
+	handShare   = 0.25 // of the limit: commands in hand, whose values may be as large again
 )
 
 func main() {
+	ended, again := make(chan os.Signal, 1), make(chan os.Signal, 1) // before all else: a signal may come at once
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(again, syscall.SIGHUP)
 	path := os.Getenv("RELAY_CONFIG")
 	text, err := os.ReadFile(path)
 	if path == "" {
 		err = errors.New("RELAY_CONFIG is not set")
 	}
-	ended, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(again, syscall.SIGHUP)
 	if err == nil {
 		err = run(text, func() ([]byte, error) { return os.ReadFile(path) }, ended, again)
 	}
@@ -92,7 +95,7 @@
 	begun := time.Now()
 	clock := func() int64 { return begun.UnixNano() + int64(time.Since(begun)) }
 	budget := transport.NewBudget(descriptors)
-	complaints := &transport.Complaints{}
+	complaints, chance := &transport.Complaints{}, transport.NewChance(seed)
 	instances := transport.NewInstances(budget, complaints, connectWithin, idleFor/2)
 	post := func(int, []byte) {}
 	var peers *transport.Peers
@@ -121,13 +124,13 @@
 		} else {
 			log.Warn("the platform is lost", "address", address, "cause", why)
 		}
-	})
+	}, chance)
 	if err := protocol.News(news, r.News); err != nil {
 		return fmt.Errorf(`field "pipeline.news": %w`, err)
 	}
 	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte) (int64, error) {
 		return r.Listed(text, zones, models, false)
-	}, r.ListFailed)
+	}, r.ListFailed, chance)
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
@@ -151,11 +154,12 @@
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(ln) }()
 	log.Info("serving", "address", listen, "memory", memory, "descriptors", descriptors)
-	for ending := false; !ending; {
+	var rested chan int
+	for {
 		select {
 		case err := <-failed:
 			return err
-		case <-again:
+		case <-again: // while ending too: the list and the platform may move then as at any time
 			if listAt, votesAt, err := addresses(reread); err != nil {
 				log.Error("the configuration stays as it was", "cause", err)
 			} else {
@@ -164,17 +168,26 @@
 				desk.Move(votesAt)
 			}
 		case got := <-ended:
+			if rested != nil {
+				continue // it ends already
+			}
 			log.Info("ending", "signal", got.String())
-			ending = true
+			rested = make(chan int, 1)
+			answered := min(time.Duration(longest), killedAfter) - killMargin
+			r.Ending(int64(servesOn + answered))
+			go func() {
+				time.Sleep(servesOn)
+				front.Drain()
+				rested <- front.Rest(answered + 2*killMargin)
+			}()
+		case n := <-rested:
+			if n > 0 {
+				log.Warn("clients are left", "connections", n)
+			}
+			log.Info("ended")
+			return nil
 		}
 	}
-	time.Sleep(servesOn)
-	front.Drain()
-	if n := front.Rest(time.Duration(longest) + endsWithin); n > 0 {
-		log.Warn("clients are left", "connections", n)
-	}
-	log.Info("ended")
-	return nil
 }
 
 // addresses reads what a configuration that is read again may change: where the list and the platform are.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,8 +5,10 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"hash/fnv"
 	"log/slog"
+	"slices"
 	"time"
 
 	"laurelring/choice"
@@ -21,9 +23,11 @@
 }
 
 // Delivery is one that is out. GiveUp ends it without an outcome and tells whether it may have reached its
-// instance, and whether it had ended before: then its outcome comes by itself.
+// instance, and whether it had ended before: then its outcome comes by itself. Withhold ends it without one if
+// nothing of it has gone out, and tells whether it did.
 type Delivery interface {
 	GiveUp() (reached, ended bool)
+	Withhold() bool
 }
 
 // Outside is what the router has done by others. None of its calls waits.
@@ -39,6 +43,7 @@
 const (
 	eventsMost = 1024             // that wait; whoever brings a further one waits
 	goneFor    = 60 * time.Second // an instance that the list no longer names is remembered so long
+	olderFor   = 15 * time.Second // by then a list that only comes older than held is taken to count anew
 )
 
 // Router keeps the commands in hand and the timers.
@@ -55,6 +60,9 @@
 	instances map[string]*instance
 	numbered  map[uint32]*choice.Instance
 	known     map[*choice.Instance]*instance
+	endsAt    int64  // when the gateway is ended for good; 0 while it is not to
+	revision  int64  // of the list held
+	olderAt   int64  // since then only older ones have come; 0 if none has
 	stands    [3]int // the build, stage and phase last told
 	due       timers
 	order     int
@@ -137,12 +145,16 @@
 // would be taken for the other.
 func (r *Router) Command(op *choice.OpType, key uint64, id string, left int64, words func(within int64) []byte,
 	client Client) {
+	came := r.clock() // what it waits here is the client's time too
 	r.events <- func(now int64) {
 		if r.ids[id] != nil {
 			client.Failed()
 			return
 		}
 		c := &inHand{id: id, client: client, words: words, out: map[*choice.Delivery]*flight{}}
+		if left -= now - came; r.endsAt > 0 {
+			left = min(left, r.endsAt-now)
+		}
 		c.cmd = r.gateway.Take(op, nil, key, 0, left, now)
 		r.commands[c.cmd], r.clients[client], r.ids[id] = c, c, c
 		r.obey(c, r.gateway.Where(c.cmd, now), now)
@@ -154,11 +166,26 @@
 	r.events <- func(now int64) {
 		if c := r.clients[client]; c != nil {
 			r.gateway.ToldGone(c.cmd)
+			r.withhold(now)
 			r.tidy(c)
 		}
 	}
 }
 
+// Ending tells that the gateway is ended for good after so long: by then every command has its final answer.
+func (r *Router) Ending(within int64) {
+	r.events <- func(now int64) {
+		r.endsAt = now + within
+		for cmd := range r.commands { // each by itself: their order does not matter
+			r.gateway.Hasten(cmd, r.endsAt)
+		}
+		for _, f := range r.due {
+			f.until = min(f.until, r.endsAt)
+		}
+		heap.Init(&r.due)
+	}
+}
+
 // Listed tells an answer of discovery, or the list as it was known at the start; it gives the revision.
 func (r *Router) Listed(text []byte, zones, models []string, cached bool) (revision int64, err error) {
 	type result struct {
@@ -168,7 +195,15 @@
 	done := make(chan result, 1)
 	r.events <- func(now int64) {
 		named := map[*choice.Instance]bool{}
-		revision, whole, err := protocol.List(text, zones, models, func(id, address string, ready, present bool,
+		revision, whole, err := protocol.List(text, zones, models, nil)
+		if err == nil {
+			err = r.current(revision, whole, now)
+		}
+		if err != nil {
+			done <- result{revision, err}
+			return
+		}
+		protocol.List(text, zones, models, func(id, address string, ready, present bool,
 			build, zone, model, cell int, size float64, startedAt int64) {
 			i := r.instance(id)
 			if i.address != "" && i.address != address || !present {
@@ -181,25 +216,42 @@
 			named[i.it] = true
 			r.gateway.ToldInstance(i.it, ready, present, build, zone, model, cell, size, startedAt, now)
 		})
-		if err == nil {
-			if whole {
-				r.gateway.ToldOnly(named, now)
-				for _, i := range r.instances {
-					if !named[i.it] && i.goneAt == 0 {
-						i.goneAt = now
-						r.outside.Drop(i.address)
-					}
+		if whole {
+			r.gateway.ToldOnly(named, now)
+			for _, i := range r.instances {
+				if !named[i.it] && i.goneAt == 0 {
+					i.goneAt = now
+					r.outside.Drop(i.address)
 				}
 			}
-			r.gateway.ToldListEnd(cached, now)
-			r.forget(now)
 		}
-		done <- result{revision, err}
+		r.gateway.ToldListEnd(cached, now)
+		r.withhold(now)
+		r.forget(now)
+		done <- result{revision, nil}
 	}
 	got := <-done
 	return got.revision, got.err
 }
 
+var errOlder = errors.New("the list is older than the one held")
+
+// current tells whether an answer of discovery is no older than the list held: one that is would undo drains
+// that were told. Where nothing but older ones comes for long, discovery counts anew, and a whole list starts
+// over.
+func (r *Router) current(revision int64, whole bool, now int64) error {
+	switch {
+	case revision >= r.revision:
+	case r.olderAt == 0:
+		r.olderAt = now
+		return errOlder
+	case !whole || now-r.olderAt < int64(olderFor):
+		return errOlder
+	}
+	r.revision, r.olderAt = revision, 0
+	return nil
+}
+
 // ListFailed tells that the list could not be asked, or that its watch broke.
 func (r *Router) ListFailed(err error) {
 	r.events <- func(now int64) {
@@ -216,6 +268,7 @@
 			r.stands = here
 		}
 		r.gateway.ToldStage(build, stage, phase, most, since, now)
+		r.withhold(now)
 	}
 }
 
@@ -299,6 +352,21 @@
 	r.ended(f, how, nil, nil, now)
 }
 
+// withhold gives up what has not begun to go out and may no longer: it waits for a connection, for up to a
+// second, while its client leaves, its instance is told to drain or the cap falls.
+func (r *Router) withhold(now int64) {
+	var late []*flight
+	for _, f := range r.due {
+		if !r.gateway.Stands(f.dl) && f.on.Withhold() {
+			late = append(late, f)
+		}
+	}
+	slices.SortFunc(late, func(a, b *flight) int { return a.order - b.order })
+	for _, f := range late {
+		r.ended(f, choice.Unsent, nil, nil, now)
+	}
+}
+
 // expire gives up what has been out for as long as it may be.
 func (r *Router) expire(now int64) {
 	for len(r.due) > 0 && r.due[0].until <= now {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -103,6 +103,14 @@
 	return s.reached, s.ended
 }
 
+func (s *sent) Withhold() bool {
+	if s.ended || s.over || s.reached {
+		return false
+	}
+	s.GiveUp()
+	return true
+}
+
 func (w *outside) fault(why string) {
 	if w.broken == "" {
 		w.broken = why
@@ -323,3 +331,140 @@
 		t.Errorf("%d and %d answers, %s", c.answers, empty.answers, w.broken)
 	}
 }
+
+// What a command waits in the queue is its client's time too: the delivery waits for no more than what is left.
+func TestQueueTimeIsTheClients(t *testing.T) {
+	w := newOutside(t, 1)
+	got := time.Duration(0)
+	w.r.outside.Send = func(_ string, until time.Time, _ func(int64) []byte, _ func(choice.Outcome, []byte, []byte)) Delivery {
+		got = time.Until(until)
+		return &sent{c: &client{w: w}}
+	}
+	w.r.Command(w.ops[0], 0, "a", 1500*ms, func(int64) []byte { return nil }, &client{w: w, until: w.now + 1500*ms})
+	w.now += 400 * ms // the gateway stands still
+	w.r.turn()
+	if got > 1101*time.Millisecond || got < 900*time.Millisecond {
+		t.Errorf("of 1.5 s, after 0.4 s in the queue, %v are left", got)
+	}
+}
+
+// connecting is a delivery that waits for its connection.
+type connecting struct{ withheld bool }
+
+func (c *connecting) GiveUp() (bool, bool) { return false, false }
+func (c *connecting) Withhold() bool       { c.withheld = true; return true }
+
+// While deliveries wait for their connections: a client that leaves takes its own along; a drain sends the others
+// elsewhere; a cap that comes down to nothing takes the trial's back.
+func TestWhatWaitsIsWithheld(t *testing.T) {
+	type one struct {
+		address string
+		of      *connecting
+	}
+	for name, event := range map[string]func(w *outside, first *client, at string){
+		"gone": func(w *outside, first *client, _ string) { w.r.Gone(first) },
+		"drain": func(w *outside, _ *client, at string) {
+			for i := range w.members {
+				if w.members[i].at() == at {
+					w.members[i].phase = "draining"
+				}
+			}
+			w.list(true, w.members...)
+		},
+		"back": func(w *outside, _ *client, _ string) { w.r.News(2, 0, choice.GoingBack, 0, 0) },
+	} {
+		w := newOutside(t, 3)
+		if name == "back" { // all run the trial's build
+			for i := range w.members {
+				w.members[i].build = 2
+			}
+			w.r.News(2, 0, choice.OnTrial, 1, 0)
+			w.list(true, w.members...)
+		}
+		var all []one
+		var first *client
+		for i := 0; len(all) < 2 && i < 200; i++ { // a trial's machine takes no burst
+			c := &client{w: w, until: w.now + 1500*ms}
+			w.r.outside.Send = func(address string, _ time.Time, words func(int64) []byte, _ func(choice.Outcome, []byte, []byte)) Delivery {
+				if words(0); first == nil {
+					first = w.clients[0]
+				}
+				all = append(all, one{address, &connecting{}})
+				return all[len(all)-1].of
+			}
+			w.r.Command(w.ops[1], 0, fmt.Sprint("w", i), 1500*ms, func(int64) []byte { w.clients = []*client{c}; return nil }, c)
+			w.r.turn()
+			w.now += 20 * ms
+		}
+		if len(all) != 2 {
+			t.Fatalf("%s: %d deliveries", name, len(all))
+		}
+		event(w, first, all[0].address)
+		w.r.turn()
+		if !all[0].of.withheld || all[1].of.withheld != (name == "back" || name == "drain" && all[1].address == all[0].address) {
+			t.Errorf("%s: withheld %t and %t", name, all[0].of.withheld, all[1].of.withheld)
+		}
+		if elsewhere := len(all) > 2; elsewhere != (name == "drain") || elsewhere && all[2].address == all[0].address {
+			t.Errorf("%s: delivered again: %v", name, all)
+		}
+	}
+}
+
+// Lists that are no whole, newer or equal ones: the list held stands, drains that were told stay so; an empty one is
+// obeyed, and an id that it removes may return. Where only older ones come for long, discovery counts anew.
+func TestListsThatAreNot(t *testing.T) {
+	w := newOutside(t, 1)
+	tell := func(text string) error {
+		done := make(chan error)
+		go func() {
+			_, err := w.r.Listed([]byte(text), []string{"a", "b"}, []string{"m"}, false)
+			done <- err
+		}()
+		for {
+			w.r.turn()
+			select {
+			case err := <-done:
+				return err
+			default:
+			}
+		}
+	}
+	one := func(id, phase string) string {
+		return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:9","locality":"a","phase":%q,"up_since_ms":0,"build":1}`, id, phase)
+	}
+	ready := func() int {
+		n := 0
+		for _, i := range w.r.instances {
+			if w.r.gateway.Ready(i.it) {
+				n++
+			}
+		}
+		return n
+	}
+	for i, c := range []struct {
+		text string
+		err  bool
+		want int
+	}{
+		{`{"revision":50,"complete":true,"members":[` + one("a", "up") + "," + one("b", "draining") + "]}", false, 1},
+		{`{"revision":49,"complete":true,"members":[` + one("a", "up") + "," + one("b", "up") + "]}", true, 1},
+		{`{"revision":48,"complete":false,"members":[` + one("b", "up") + "]}", true, 1},
+		{`{"revision":51,"complete":true,"members":[` + one("a", "up"), true, 1},
+		{"{\n  \"revision\": 51,\n  \"complete\": false,\n  \"members\": [\n" + one("c", "up") + "\n  ]\n}\n", false, 2},
+		{`{"revision":52,"complete":false,"members":[` + one("c", "removed") + "]}", false, 1},
+		{`{"revision":53,"complete":false,"members":[` + one("c", "up") + "]}", false, 2},
+		{`{"revision":54,"complete":true,"members":[]}`, false, 0},
+		{`{"revision":55,"complete":true,"members":[` + one("b", "up") + "]}", false, 1},
+	} {
+		if err := tell(c.text); (err != nil) != c.err || ready() != c.want {
+			t.Errorf("list %d: %v, %d ready, want %d", i, err, ready(), c.want)
+		}
+	}
+	anew := `{"revision":3,"complete":true,"members":[` + one("a", "up") + "," + one("b", "up") + "]}"
+	for _, after := range []int64{0, 14000, 1100} {
+		w.now += after * ms
+		if err := tell(anew); (err == nil) != (after == 1100) {
+			t.Errorf("discovery counts anew, %d ms on: %v", after, err)
+		}
+	}
+}
--- a/internal/transport/desk.go
+++ b/internal/transport/desk.go
@@ -17,6 +17,7 @@
 	told   func(build, stage int, phase choice.Phase, most float64, since int64)
 	voted  func(how choice.Outcome)
 	state  func(address string, why error) // without a reason it is heard
+	chance *Chance
 	votes  chan choice.Vote
 	moved  chan struct{} // holds one once the address has changed
 	number int           // of the last call
@@ -31,8 +32,9 @@
 	silentFor  = 3500 * time.Millisecond // a sign of life comes every second
 	lineWithin = 500 * time.Millisecond  // a line that has begun is whole, or is never
 	leaveFor   = time.Second             // an address that is left is still heard for votes in hand
-	deskAgain  = 100 * time.Millisecond  // between two connections
-	deskMost   = time.Second             // the same where one after the other fails
+	deskFirst  = 300 * time.Millisecond  // the first connection comes within this, by lot: fleets start at once
+	deskAgain  = 100 * time.Millisecond  // between two connections, and as much more by lot
+	deskMost   = 800 * time.Millisecond  // the same where one after the other fails
 	deskWithin = time.Second             // for a connection to come up
 )
 
@@ -40,8 +42,8 @@
 // how a vote ended, and of the connection's coming and going.
 func NewDesk(address string, within time.Duration,
 	told func(build, stage int, phase choice.Phase, most float64, since int64), voted func(how choice.Outcome),
-	state func(address string, why error)) *Desk {
-	return &Desk{address: address, within: within, told: told, voted: voted, state: state,
+	state func(address string, why error), chance *Chance) *Desk {
+	return &Desk{address: address, within: within, told: told, voted: voted, state: state, chance: chance,
 		votes: make(chan choice.Vote, votesMost), moved: make(chan struct{}, 1)}
 }
 
@@ -78,6 +80,7 @@
 // Run keeps the connection until the context ends. One that was heard is replaced soon, one after another
 // that is not, later each time.
 func (d *Desk) Run(ctx context.Context) {
+	d.rest(ctx, d.chance.Below(deskFirst))
 	for pause := deskAgain; ctx.Err() == nil; {
 		number := d.number + 1
 		address := d.at()
@@ -92,23 +95,28 @@
 			continue
 		}
 		d.state(address, err)
-		again := time.After(pause)
-		for waiting := true; waiting; {
-			select {
-			case <-d.votes:
-				d.voted(choice.Unconnected)
-			case <-d.moved:
-				waiting = false
-			case <-again:
-				waiting = false
-			case <-ctx.Done():
-				return
-			}
-		}
+		d.rest(ctx, pause+d.chance.Below(pause))
 		pause = min(2*pause, deskMost)
 	}
 }
 
+// rest waits before the next connection, unless the address changes. Votes meanwhile are not carried out.
+func (d *Desk) rest(ctx context.Context, pause time.Duration) {
+	again := time.After(pause)
+	for {
+		select {
+		case <-d.votes:
+			d.voted(choice.Unconnected)
+		case <-d.moved:
+			return
+		case <-again:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // waiting is a vote whose answer is to come.
 type waiting struct {
 	id int
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -19,6 +19,7 @@
 	wait     time.Duration
 	told     func(text []byte) (revision int64, err error)
 	failed   func(error)
+	chance   *Chance
 	revision int64
 	watching atomic.Bool
 
@@ -30,16 +31,17 @@
 const (
 	waitMost       = 3 * time.Second         // a call that goes unanswered tells so no sooner than after its wait
 	graceAfterWait = 1500 * time.Millisecond // after its wait an answer may still come
-	wholeWithin    = 500 * time.Millisecond  // an answer that has begun is whole, or is never
-	keepAgain      = time.Second             // after a failed call
+	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
+	keepAgain      = time.Second             // after a failed call, and up to half as much less or more by lot
 )
 
 // NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
 func NewDiscovery(address string, wait time.Duration, revision int64,
-	told func(text []byte) (revision int64, err error), failed func(error)) *Discovery {
+	told func(text []byte) (revision int64, err error), failed func(error), chance *Chance) *Discovery {
 	wait = min(wait, waitMost)
 	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
+		chance: chance,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
 			Timeout: wait + graceAfterWait}}
 }
@@ -64,7 +66,7 @@
 	for ctx.Err() == nil {
 		d.failed(d.watch(ctx))
 		select {
-		case <-time.After(keepAgain):
+		case <-time.After(keepAgain/2 + d.chance.Below(keepAgain)):
 		case <-ctx.Done():
 		}
 	}
@@ -103,10 +105,13 @@
 	}
 }
 
-// call makes one call of a watch and tells what it brought. An answer that begins and does not end is given
-// up soon: the connection may stand for ever. To leave a call that has ended does nothing.
+// call makes one call of a watch and tells what it brought. An answer that begins and does not go on is given
+// up soon: the connection may stand for ever. One that goes on slowly, to a gateway short of processor time say,
+// is read until the call's whole time is over. To leave a call that has ended does nothing.
 func (d *Discovery) call(ctx context.Context, leave context.CancelFunc, address string) error {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { time.AfterFunc(wholeWithin, leave) }})
+	stalled := time.AfterFunc(d.client.Timeout, leave)
+	defer stalled.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { stalled.Reset(moreWithin) }})
 	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, d.wait.Milliseconds())
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -120,7 +125,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", answer.Status)
 	}
-	text, err := io.ReadAll(io.LimitReader(answer.Body, protocol.ListMost))
+	text, err := io.ReadAll(io.LimitReader(&going{answer.Body, stalled}, protocol.ListMost))
 	if err != nil {
 		return err
 	}
@@ -130,3 +135,17 @@
 	}
 	return err
 }
+
+// going puts the end of a call off with each of its bytes.
+type going struct {
+	io.Reader
+	stalled *time.Timer
+}
+
+func (g *going) Read(p []byte) (int, error) {
+	n, err := g.Reader.Read(p)
+	if n > 0 && err == nil {
+		g.stalled.Reset(moreWithin)
+	}
+	return n, err
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -167,6 +167,7 @@
 	mu       sync.Mutex
 	inHand   int  // commands read and not yet answered
 	brought  bool // one was read
+	halfway  bool // another has begun
 	activeAt time.Time
 	shut     bool   // no further command is read
 	within   bool   // the limit
@@ -178,7 +179,7 @@
 func (c *client) hold() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.shut {
+	if c.halfway = false; !c.shut {
 		c.inHand++
 		c.brought = true
 	}
@@ -220,10 +221,15 @@
 }
 
 // endQuiet ends a connection that has no command in hand and had none for so long, if such as are within the
-// limit or beyond it are to end.
+// limit or beyond it are to end. One on which a command is on its way stays, unless it would be the first and
+// room is short.
 func (c *client) endQuiet(since time.Duration, within, beyond bool) bool {
+	closing := c.front.isClosing()
 	c.mu.Lock()
 	quiet := !c.shut && c.inHand == 0 && (c.within && within || !c.within && beyond) && time.Since(c.activeAt) >= since
+	if quiet && (c.brought || closing) {
+		quiet = !c.halfway && !c.unread()
+	}
 	c.shut = c.shut || quiet
 	c.mu.Unlock()
 	if quiet {
@@ -233,6 +239,24 @@
 	return quiet
 }
 
+// unread tells whether bytes of the client wait to be read.
+func (c *client) unread() bool {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		waiting = err == nil && n > 0
+	})
+	return waiting
+}
+
 // reset has the connection end in a reset where all answers have arrived. It tells a client that what crossed
 // the end was not read, so that it may bring it again; an orderly end after a whole command would not.
 func (c *client) reset() {
@@ -308,6 +332,9 @@
 	if len(c.buffer.Bytes()) > 0 || c.commands.Begun() {
 		if c.begunAt.IsZero() {
 			c.begunAt = now
+			c.mu.Lock()
+			c.halfway = true
+			c.mu.Unlock()
 		}
 		over := c.begunAt.Add(firstWithin)
 		c.SetReadDeadline(over)
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"laurelring/choice"
 	"laurelring/internal/protocol"
 )
@@ -39,12 +43,14 @@
 type link struct {
 	in      *Instances
 	address string
-	conn    net.Conn
+	conn    *net.TCPConn
+	raw     syscall.RawConn
 
-	mu      sync.Mutex
+	mu      sync.Mutex // held while bytes are read too: what came before a delivery began is none of its answer
 	work    *Sending
 	writing bool
 	closed  bool
+	spent   bool      // its end or more than an answer was read: nothing may begin on it
 	idleAt  time.Time // since when it has stood idle
 }
 
@@ -66,7 +72,6 @@
 	ended func(how choice.Outcome, value, load []byte)) *Sending {
 	s := &Sending{until: until, words: words, ended: ended}
 	if l := in.takeIdle(address); l != nil {
-		s.on = l
 		go l.write(s, true)
 	} else {
 		go in.open(address, s)
@@ -76,18 +81,30 @@
 
 // GiveUp ends a delivery without an outcome and closes its connection before it returns: what is sent
 // elsewhere after it is no second copy. It tells whether the delivery may have reached the instance, and
-// whether it had ended before: then its outcome is on its way.
+// whether it had ended before: then its outcome is on its way. The connection of one that had not begun serves
+// another.
 func (s *Sending) GiveUp() (reached, ended bool) {
 	s.mu.Lock()
 	l, begun, was := s.on, s.begun, s.over
 	s.over = true
 	s.mu.Unlock()
-	if l != nil && !was {
+	if begun && !was {
 		l.close()
 	}
 	return begun, was
 }
 
+// Withhold gives a delivery up if nothing of it has gone out, and tells whether it did.
+func (s *Sending) Withhold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.begun || s.over {
+		return false
+	}
+	s.over = true
+	return true
+}
+
 // end tells the outcome, unless one was told or the delivery was given up.
 func (s *Sending) end(how choice.Outcome, value, load []byte) {
 	if s.settle() {
@@ -104,19 +121,11 @@
 	return !was
 }
 
-// take puts a delivery on a connection, unless it was given up meanwhile.
-func (s *Sending) take(l *link) bool {
+// begin marks that bytes go out on a connection from here on, unless the delivery was given up meanwhile.
+func (s *Sending) begin(on *link) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.on = l
-	return !s.over
-}
-
-// begin marks that bytes go out from here on, unless the delivery was given up meanwhile.
-func (s *Sending) begin() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.begun = !s.over
+	s.begun, s.on = !s.over, on
 	return s.begun
 }
 
@@ -132,9 +141,10 @@
 		s.end(choice.Unconnected, nil, nil)
 		return
 	}
-	l := &link{in: in, address: address, conn: conn}
-	if !s.take(l) {
+	l := &link{in: in, address: address, conn: conn.(*net.TCPConn)}
+	if l.raw, err = l.conn.SyscallConn(); err != nil {
 		l.close()
+		s.end(choice.Unconnected, nil, nil)
 		return
 	}
 	go l.write(s, false)
@@ -142,15 +152,17 @@
 }
 
 // write sends a delivery's bytes. Until the last of them is written the command can't have run. A used
-// connection that has ended meanwhile is replaced, as long as nothing was written.
+// connection that has ended meanwhile, or on which anything has come since its last answer, is replaced, as
+// long as nothing was written.
 func (l *link) write(s *Sending, used bool) {
 	l.mu.Lock()
-	closed := l.closed
+	closed := l.closed || l.spent || used && !l.silent()
 	if !closed {
 		l.work, l.writing = s, true
 	}
 	l.mu.Unlock()
 	if closed {
+		l.close()
 		l.again(s, used)
 		return
 	}
@@ -158,8 +170,8 @@
 	if within <= 0 {
 		s.end(choice.Unsent, nil, nil)
 	}
-	if !s.begin() {
-		l.close()
+	if !s.begin(l) {
+		l.spare()
 		return
 	}
 	l.conn.SetReadDeadline(time.Time{})
@@ -183,6 +195,24 @@
 	}
 }
 
+// silent tells whether the connection stands and nothing waits on it to be read. Nothing is read meanwhile.
+func (l *link) silent() bool {
+	quiet := false
+	err := l.raw.Control(func(fd uintptr) {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+	})
+	return err == nil && quiet
+}
+
+// spare keeps a connection whose delivery was given up before it began, for another.
+func (l *link) spare() {
+	l.mu.Lock()
+	l.work, l.writing = nil, false
+	l.mu.Unlock()
+	l.in.giveIdle(l)
+}
+
 // again opens a new connection for a delivery of which nothing was written on a used one.
 func (l *link) again(s *Sending, used bool) {
 	s.mu.Lock()
@@ -205,9 +235,9 @@
 	defer l.close()
 	b, reply := protocol.NewBuffer(protocol.ReplyMost), protocol.Reply{}
 	for {
-		n, err := l.conn.Read(b.Room())
+		n, s, err := l.receive(b.Room())
 		b.Add(n)
-		if n > 0 && !l.take(b, &reply) {
+		if n > 0 && !l.take(s, b, &reply) {
 			return
 		}
 		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
@@ -220,11 +250,31 @@
 	}
 }
 
-// take reads on in what has come, and tells whether the connection is still of use.
-func (l *link) take(b *protocol.Buffer, reply *protocol.Reply) bool {
-	l.mu.Lock()
-	s := l.work
-	l.mu.Unlock()
+// receive waits for bytes and reads them, with the delivery that was in work then: a late second answer must
+// not be taken for the answer to a delivery that begins as it is read.
+func (l *link) receive(room []byte) (n int, s *Sending, err error) {
+	failed := l.raw.Read(func(fd uintptr) bool {
+		l.mu.Lock()
+		n, err = unix.Read(int(fd), room)
+		again := err == unix.EAGAIN || err == unix.EINTR
+		s = l.work
+		l.spent = l.spent || s == nil && !again
+		l.mu.Unlock()
+		return !again
+	})
+	switch {
+	case failed != nil:
+		return 0, nil, failed
+	case err != nil:
+		return 0, nil, err
+	case n == 0:
+		return 0, nil, io.EOF
+	}
+	return n, s, nil
+}
+
+// take reads on in what has come for a delivery, and tells whether the connection is still of use.
+func (l *link) take(s *Sending, b *protocol.Buffer, reply *protocol.Reply) bool {
 	if s == nil {
 		l.in.complaints.Complain("an instance sent what nobody asked for", "address", l.address)
 		return false
@@ -288,14 +338,21 @@
 	return nil
 }
 
+// giveIdle lets a connection stand for the next delivery, unless it has ended.
 func (in *Instances) giveIdle(l *link) {
 	now := time.Now()
 	l.conn.SetReadDeadline(now.Add(in.idleFor)) // read ends then, if nothing was sent since
 	in.mu.Lock()
+	defer in.mu.Unlock()
+	l.mu.Lock()
+	closed := l.closed
+	l.mu.Unlock()
+	if closed {
+		return
+	}
 	l.idleAt = now
 	in.idle[l.address] = append(in.idle[l.address], l)
 	in.all = append(in.all, l)
-	in.mu.Unlock()
 }
 
 // remove takes a connection off the idle ones and tells whether it was one.
