--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -325,6 +325,14 @@
 	}
 }
 
+// leaves passes over what comes after a lost framing and tells whether the client ended the connection, rather
+// than the gateway.
+func (c *client) leaves() bool {
+	c.SetReadDeadline(time.Time{})
+	n, err := io.CopyN(io.Discard, c.Conn, passedMost)
+	return n < passedMost && !errors.Is(err, net.ErrClosed)
+}
+
 // await sets until when the next bytes are waited for: a command that has begun is whole in a while, a first
 // one comes in a while. It ends a connection on which none does, and tells whether no command stops halfway.
 func (c *client) await() bool {
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
 
+	"laurelring/choice"
 	"laurelring/internal/protocol"
 )
 
@@ -109,3 +111,57 @@
 		}
 	}
 }
+
+// serve has a front of one op type on loopback, whose commands nobody answers, and gives its address.
+func serve(t *testing.T, take, gone func(to *Answer)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	f := NewFront(NewBudget(reserve+40), &Complaints{}, 1<<20, int64(time.Minute),
+		map[string]*choice.OpType{"API.READ look": {}},
+		func(_ *choice.OpType, _ uint64, _ string, _ int64, _ func(int64) []byte, to *Answer) { take(to) }, gone)
+	go f.Serve(ln)
+	return ln.Addr().String()
+}
+
+// A client leaves while its command waits, in each way there is: an end, a half-close, a reset, an end behind further
+// commands, one behind bytes that no framing fits. Its commands are told as gone at once, each once.
+func TestLeavingIsSeenAtOnce(t *testing.T) {
+	const ask = "*4\r\n$8\r\nAPI.READ\r\n$1\r\nk\r\n$2\r\n%02d\r\n$11\r\nc=look,d=99\r\n"
+	type far = *net.TCPConn
+	ways := map[string]func(c far){
+		"end":        func(c far) { c.Close() },
+		"half-close": func(c far) { c.CloseWrite() },
+		"reset":      func(c far) { c.SetLinger(0); c.Close() },
+		"behind":     func(c far) { io.WriteString(c, fmt.Sprintf(ask, 2)+fmt.Sprintf(ask, 3)); c.Close() },
+		"noise":      func(c far) { io.WriteString(c, "*9999\r\n$$$\r\n"); time.Sleep(50 * time.Millisecond); c.Close() },
+	}
+	for name, leave := range ways {
+		taken, gone := make(chan *Answer, 9), make(chan *Answer, 9)
+		address := serve(t, func(to *Answer) { taken <- to }, func(to *Answer) { gone <- to })
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, ask, 1)
+		all := map[*Answer]bool{<-taken: true}
+		leave(conn.(far))
+		time.Sleep(250 * time.Millisecond)
+		for len(taken) > 0 {
+			all[<-taken] = true
+		}
+		for len(gone) > 0 {
+			if a := <-gone; !all[a] {
+				t.Errorf("%s: told as gone again, or never taken", name)
+			} else {
+				delete(all, a)
+			}
+		}
+		if len(all) > 0 {
+			t.Errorf("%s: of %d commands nobody knows that the client has left", name, len(all))
+		}
+	}
+}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -16,6 +16,7 @@
 	inHandMost = 32                     // commands of one connection that wait for their answers
 	answerFor  = 5 * time.Second        // a client that takes no answer for so long is cut off
 	faultPause = 100 * time.Millisecond // what a client brings next after a fault of its own is read this late
+	passedMost = 1 << 20                // bytes passed over after a lost framing, to see the client leave
 )
 
 // session is a client's connection: its reader tells of commands and of the client's leaving, its writer, from
@@ -100,8 +101,8 @@
 		}
 	}
 	close(s.answers)
-	if c.lost {
-		return // the client is there and is owed its answers
+	if c.lost && !c.leaves() {
+		return // the client has got the answers that it was owed, or goes on sending without end
 	}
 	if close(s.left); !writing {
 		c.Close()
