--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -590,3 +590,48 @@
 		t.Error("an answer and a time-out do not count as one and a half")
 	}
 }
+
+// A fleet that starts, or loses the list, at once does not ask for it in step, and yet each gateway asks in time: the
+// first calls of 300 spread over two seconds, those after a common loss over twice the pause, 3.2 s at most.
+func TestFleetAsksApart(t *testing.T) {
+	for _, peers := range []int{1, 300} {
+		var first, again, last []int64
+		for i := range 300 {
+			w := newMember(uint64(i+1), ControlAny, i%peers, peers, 1)
+			w.g.Follow(true)
+			ask := func() int64 {
+				for begun := w.now; ; w.now += ms {
+					if _, due := w.g.Wait(w.now); due.Watch {
+						return w.now - begun
+					}
+				}
+			}
+			first = append(first, ask())
+			w.g.ToldListFailed(w.now)
+			again = append(again, ask())
+			for range 8 {
+				w.g.ToldListFailed(w.now)
+				last = append(last, ask())
+			}
+		}
+		crowd := func(all []int64) int { // most calls within a tenth of a second
+			most := 0
+			for _, at := range all {
+				n := 0
+				for _, o := range all {
+					if o >= at && o < at+100*ms {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+			return most
+		}
+		if top := slices.Max(first); top > 2*s || peers == 300 && crowd(first) > 35 || peers == 1 && top > 20*ms {
+			t.Errorf("of %d: first calls within %d ms, %d in a tenth of a second", peers, top/ms, crowd(first))
+		}
+		if crowd(again) > 110 || slices.Min(again) < 300*ms || slices.Max(last) > 3300*ms {
+			t.Errorf("of %d: %d calls in a tenth of a second, the last %d ms after", peers, crowd(again), slices.Max(last)/ms)
+		}
+	}
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -29,8 +29,11 @@
 }
 
 const (
-	waitMost       = 3 * time.Second         // a call that goes unanswered tells so no sooner than after its wait
-	graceAfterWait = 1500 * time.Millisecond // after its wait an answer may still come
+	// A call that goes unanswered tells so no sooner than after its wait: a third of that is by lot, so that gateways
+	// whose watches fall silent at once find out, and call again, one after the other.
+	waitMost       = 3 * time.Second
+	waitLot        = 3
+	graceAfterWait = 1200 * time.Millisecond // after its wait an answer may still come: discovery takes calls in turn
 	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
 	keepAgain      = time.Second             // after a failed call, and up to half as much less or more by lot
 )
@@ -109,10 +112,11 @@
 // up soon: the connection may stand for ever. One that goes on slowly, to a gateway short of processor time say,
 // is read until the call's whole time is over. To leave a call that has ended does nothing.
 func (d *Discovery) call(ctx context.Context, leave context.CancelFunc, address string) error {
-	stalled := time.AfterFunc(d.client.Timeout, leave)
+	wait := d.wait - d.chance.Below(d.wait/waitLot)
+	stalled := time.AfterFunc(wait+graceAfterWait, leave)
 	defer stalled.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { stalled.Reset(moreWithin) }})
-	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, d.wait.Milliseconds())
+	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, wait.Milliseconds())
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
