--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -30,8 +30,9 @@
 
 const (
 	// A call that goes unanswered tells so no sooner than after its wait: a third of that is by lot, so that gateways
-	// whose watches fall silent at once find out, and call again, one after the other.
-	waitMost       = 3 * time.Second
+	// whose watches fall silent at once find out, and call again, one after the other. With the grace, and two pauses
+	// of the module where the first new call is turned away, that is within the 6 s that a silent watch is excused.
+	waitMost       = 2400 * time.Millisecond
 	waitLot        = 3
 	graceAfterWait = 1200 * time.Millisecond // after its wait an answer may still come: discovery takes calls in turn
 	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
