--- a/choice/choice.go
+++ b/choice/choice.go
@@ -394,7 +394,7 @@
 		j.worked = work
 	} else if j.own == nil || g.exposure.phase == OnTrial && g.trialMachines() == 0 { // none listed yet
 		j.worked += workGain * (work - j.worked)
-	} else if j.worked > 0 && j.whole && young <= grown { // not while the fleet has just gone back from a jam
+	} else if j.worked > 0 && young <= grown { // not while the fleet has just gone back from a jam
 		// What commands cost the fleet, in those of before the build.
 		per := acked * float64(poolEvery) / float64(poolSpan) // since the last time
 		j.fresh = append(j.fresh, [2]float64{per, per * min(work/j.worked, 10)})
@@ -774,7 +774,10 @@
 	for _, op := range g.ops {
 		t, b := sum[g.cell(true, op):], sum[g.cell(false, op):]
 		tt, tf, bt, bf = tt+float64(t[0]), tf+float64(t[1]), bt+float64(b[0]), bf+float64(b[1])
-		tw, bw = tw+float64(t[2])/2, bw+float64(b[2])/2
+		if j.since != nil {
+			tw += max(0, float64(t[2])-float64(j.since[g.cell(true, op)+2])) / 2
+			bw += max(0, float64(b[2])-float64(j.since[g.cell(false, op)+2])) / 2
+		}
 		// Beside all of the trial's tries those since its stage or its release: guards against builds that begin
 		// to fail once their machines have run for a while, which many clean tries would hide.
 		was := j.before[g.cell(true, op):]
@@ -784,11 +787,11 @@
 	}
 	// Slowness by work, counted in commands of the earlier build, where machines tell how busy they are: it
 	// tells a slow build from queues, which load, cold keys and bursts make as well. It says nothing once few
-	// earlier machines are left, as the trial's work is then of another period, while totals are missing, or at
-	// a gateway that started amid a trial, which has not seen the work that the totals tell of. The fleet's work
+	// earlier machines are left, as the trial's work is then of another period, or while totals are missing; after
+	// that, and at a gateway that started amid a trial, both count from when the work is seen. The fleet's work
 	// is held against that before, as with equal exposure, unless the trial's commands cost less than others.
 	slower, fleet, w := 0.0, 0.0, j.workWas
-	if g.baseLeft() && !j.deaf && j.whole && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
+	if g.baseLeft() && !j.deaf && j.sees && w[0] > 0 && w[1] > 0 && tw > 0 && bw > 0 {
 		may := tw * workMargin * (1 + slowAlone/float64(max(1, g.trialMachines())))
 		slower = joint(may, w[0]*bw/w[1], bw, bw)
 	}
@@ -940,8 +943,13 @@
 	if deaf || !voter {
 		j.hearsAt, j.fresh = now, nil // what the fleet did meanwhile is not known
 	}
-	// Guards against lost messages amid a trial: the tries told after have no work beside them.
-	j.whole, j.deaf = j.whole && (!deaf || now-j.seenAt < findFresh), deaf
+	// Guards against lost messages and restarts amid a trial: the tries told of meanwhile have no work beside them.
+	if j.deaf = deaf; j.own != nil && deaf && now-j.seenAt >= findFresh {
+		j.since = nil
+	} else if j.own != nil && !deaf && j.since == nil {
+		g.seeWork(now)
+	}
+	j.sees = j.since != nil && now-j.sinceAt >= max(findFresh, e.window) // a few deliveries come in bursts
 	found := VoteNone
 	// One vote of a few is enough where no more are required.
 	if j.own != nil && (voter || max(j.on, j.back) > len(voters)) {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -89,11 +89,10 @@
 // pooled sums the totals of all gateways on the build.
 func (g *Gateway) pooled() []uint32 {
 	sum := slices.Clone(g.judge.own)
+	plus(sum, g.judge.gone)
 	for _, t := range g.judge.heard {
 		if t != nil && t.Build == g.judge.build {
-			for i, n := range t.Cells {
-				sum[i] += n
-			}
+			plus(sum, t.Cells)
 		}
 	}
 	return sum
@@ -228,9 +227,12 @@
 		g.retire(it)
 	}
 	j.build, j.seenAt, j.against, g.exposure.pinning = build, now, false, 0
-	j.whole = j.told
-	j.workWas, j.work = [2]float64{}, [2]float64{}
+	j.workWas, j.work, j.since = [2]float64{}, [2]float64{}, nil
+	if j.amid, j.sinceAt = !j.told, 0; j.told { // we ran before the build was heard of
+		j.since = make([]uint32, g.cells())
+	}
 	j.pastWork, j.past, j.fleet = [2]float64{}, make([]uint32, g.cells()), [2]float64{}
+	j.gone = make([]uint32, g.cells())
 	j.own = make([]uint32, g.cells())
 	j.vote, j.againAt, j.before = Vote{}, 0, nil
 }
@@ -248,8 +250,42 @@
 			}
 		}
 	}
-	if had := g.judge.heard[t.From]; had == nil || t.Build > had.Build || t.Build == had.Build && t.At > had.At {
-		g.judge.heard[t.From] = t
+	had := g.judge.heard[t.From]
+	if had != nil && (t.Build < had.Build || t.Build == had.Build && t.At <= had.At) {
+		return
+	}
+	if j := &g.judge; t.Build == j.build && had != nil && had.Build == t.Build && g.anew(t.Cells, had.Cells) {
+		plus(j.gone, had.Cells)
+	} else if t.Build == j.build && (had == nil || had.Build != t.Build) && j.amid && j.since != nil {
+		plus(j.since, t.Cells) // first heard of now: the work of its tries was not seen
+	}
+	g.judge.heard[t.From] = t
+}
+
+func plus(sum, more []uint32) {
+	for i, n := range more {
+		sum[i] += n
+	}
+}
+
+// anew tells whether running totals fell: their sender has started anew. Tries and failures may fall as well, as a
+// machine is found to speak of itself; the deliveries ended at warm machines never do.
+func (g *Gateway) anew(cells, had []uint32) bool {
+	for i := 2; i < len(cells); i += cellKinds {
+		if cells[i] < had[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// seeWork begins to hold work against tries anew: those so far stand beside work that was not seen.
+func (g *Gateway) seeWork(now int64) {
+	j := &g.judge
+	j.since, j.amid, j.sinceAt = g.pooled(), true, now
+	j.workWas, j.work, j.pastWork = [2]float64{}, [2]float64{}, [2]float64{}
+	for _, it := range g.instances {
+		it.worked = 0
 	}
 }
 
@@ -264,7 +300,7 @@
 	for _, it := range f.Ill {
 		it.illUntil = now + findEvery + poolEvery
 	}
-	if j.own == nil && f.Work > 0 {
+	if f.Work > 0 && (j.own == nil || j.worked == 0) { // also to one that has started anew amid a trial
 		j.worked = f.Work
 	}
 	for i, had := range j.findings {
--- a/choice/state.go
+++ b/choice/state.go
@@ -346,7 +346,11 @@
 	workWas  [2]float64   // the same when totals were last due
 	pastWork [2]float64   // of it, that of machines that have left
 	told     bool         // a stage has been told
-	whole    bool         // we ran before the build was first heard of, and heard the others since
+	since    []uint32     // all totals when their work began to be seen; nil while it is not
+	sinceAt  int64        // when that was, if it was
+	amid     bool         // after the build was first heard of
+	sees     bool         // and long enough ago
+	gone     []uint32     // totals of gateways that have started anew
 	worked   float64      // what a command cost the machines before the build
 	fleet    [2]float64   // answers since the stage began, and their cost in those of before
 	fresh    [][2]float64 // the latest of the same, not yet added
