--- a/choice/choice.go
+++ b/choice/choice.go
@@ -256,7 +256,7 @@
 	if cmd.Ended || now >= cmd.lastAnswer || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
 		return false
 	}
-	return to.listed && to.ready && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
+	return to.listed && to.ready && g.taken(to.build) && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
 }
 
 // Stands tells whether a delivery of which nothing has gone out may still go: not once its client has left, its
@@ -264,10 +264,14 @@
 // connections that come up late; a lower cap above nothing binds later, with the window.
 func (g *Gateway) Stands(dl *Delivery) bool {
 	to := dl.To
-	return !dl.Cmd.Ended && to.listed && to.ready && to.build == dl.build &&
+	return !dl.Cmd.Ended && to.listed && to.ready && to.build == dl.build && g.taken(to.build) &&
 		!(g.onTrial(dl.build) && dl.build <= g.exposure.build && g.exposure.cap <= 0)
 }
 
+// taken: where the operator has builds vouched for, one that is not gets nothing, on trial or released. Guards against
+// a build that nobody signed; while nothing is trusted all commands wait, and are refused in their time.
+func (g *Gateway) taken(build int) bool { return g.vouched == nil || g.vouched[build] }
+
 // harmless: no effect twice.
 func (g *Gateway) harmless(cmd *Command, to *Instance, now int64) bool {
 	if cmd.op.kind == Redeliverable {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -671,3 +671,41 @@
 		}
 	}
 }
+
+// Where builds are vouched for, one that is not gets nothing, whatever its stage; all others as ever. Without that any
+// build is taken, as before.
+func TestOnlyVouchedBuilds(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		w := started(newWorld(4, ControlAny), 6)
+		w.list(6, 0, 2)
+		w.g.ToldStage(2, 2, OnTrial, 1, 0, w.now)
+		w.most = 1
+		if guarded {
+			w.g.Guard()
+			if w.take(0, 0); w.last.Act != Hold {
+				t.Error("sent before any build is vouched for")
+			}
+			w.g.ToldVouched(1, true)
+		} else {
+			w.g.ToldVouched(1, false) // nobody asked
+		}
+		trial := func() int {
+			n := len(w.trial[2])
+			w.run(3*s, 0)
+			return len(w.trial[2]) - n
+		}
+		if n := trial(); (n == 0) != guarded {
+			t.Errorf("guarded %t: %d deliveries to a build that nobody vouches for", guarded, n)
+		}
+		if w.g.ToldVouched(2, true); trial() == 0 {
+			t.Error("a build that is vouched for gets nothing")
+		}
+		waits := &Delivery{Cmd: &Command{}, To: w.instances[6], build: 2}
+		if w.g.ToldVouched(2, false); w.g.Stands(waits) == guarded {
+			t.Error("what waits for its connection goes to a build that is no longer vouched for")
+		}
+		if w.broken != "" {
+			t.Error(w.broken)
+		}
+	}
+}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -48,6 +48,22 @@
 	j.answerIn, j.messages = answerIn, messages && g.peers > 1
 }
 
+// Waiting is how many commands are held.
+func (g *Gateway) Waiting() int { return len(g.held) }
+
+// Guard has no delivery go to a build that is not vouched for.
+func (g *Gateway) Guard() { g.vouched = map[int]bool{} }
+
+// ToldVouched tells whether a build is what was signed.
+func (g *Gateway) ToldVouched(build int, so bool) {
+	if g.vouched == nil {
+		return
+	}
+	if delete(g.vouched, build); so {
+		g.vouched[build] = true
+	}
+}
+
 // Ready tells whether the list names an instance as one that takes deliveries.
 func (g *Gateway) Ready(it *Instance) bool { return it.listed && it.ready }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -253,12 +253,13 @@
 	held        []*Command
 	arriving    float64 // our commands a second, smoothed
 	arrivedAt   int64
-	out         int     // our deliveries that are out
-	window      float64 // how many may be
-	endedAt     int64   // when one last ended
-	pace        float64 // smoothed time of answers against the op types' means, of all kinds of machine
-	ways        []way   // by zone
-	unmet       float64 // smoothed share of our deliveries that found no connection
+	out         int          // our deliveries that are out
+	window      float64      // how many may be
+	endedAt     int64        // when one last ended
+	pace        float64      // smoothed time of answers against the op types' means, of all kinds of machine
+	ways        []way        // by zone
+	unmet       float64      // smoothed share of our deliveries that found no connection
+	vouched     map[int]bool // builds that are what was signed; nil where any is taken
 	limits      limits
 	exposure    exposure
 	cold        cold
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -16,9 +16,11 @@
 	"time"
 
 	"laurelring/choice"
+	"laurelring/internal/chance"
 	"laurelring/internal/protocol"
 	"laurelring/internal/routing"
 	"laurelring/internal/transport"
+	"laurelring/internal/tuf"
 )
 
 const (
@@ -95,9 +97,10 @@
 	begun := time.Now()
 	clock := func() int64 { return begun.UnixNano() + int64(time.Since(begun)) }
 	budget := transport.NewBudget(descriptors)
-	complaints, chance := &transport.Complaints{}, transport.NewChance(seed)
+	complaints, lots := &transport.Complaints{}, chance.New(seed)
 	instances := transport.NewInstances(budget, complaints, connectWithin, idleFor/2)
 	post := func(int, []byte) {}
+	var r *routing.Router
 	var peers *transport.Peers
 	if peersAt != "" {
 		if peers, err = transport.NewPeers(peersAt, each, all); err != nil {
@@ -106,9 +109,29 @@
 		defer peers.Close()
 		post = peers.Post
 	}
+	var build func(int)
+	var agent *tuf.Agent
+	trustFile := os.Getenv("RELAY_TRUST") // an operator's own: not set in run
+	if trustFile != "" {
+		operator, err := tuf.Load(trustFile)
+		if err != nil {
+			return err
+		}
+		client, kept, err := operator.Client(seed, func() int64 { return time.Now().UnixNano() }, nil)
+		if err != nil {
+			return err
+		}
+		defer kept.Close()
+		defer client.Close()
+		agent = tuf.NewAgent(operator, client, seed, func() bool { return r.Busy() }, func(build int, so bool) { r.Vouched(build, so) })
+		if operator.Builds != "" {
+			gateway.Guard()
+			build = agent.Build
+		}
+	}
 	var discovery *transport.Discovery
 	var desk *transport.Desk
-	r := routing.New(gateway, busy, clock, routing.Outside{
+	r = routing.New(gateway, busy, clock, routing.Outside{
 		Send: func(address string, until time.Time, words func(int64) []byte,
 			ended func(choice.Outcome, []byte, []byte)) routing.Delivery {
 			return instances.Send(address, until, words, ended)
@@ -117,6 +140,7 @@
 		Post:  post,
 		Vote:  func(v choice.Vote) { desk.Vote(v) },
 		Watch: func() { discovery.Watch(ctx) },
+		Build: build,
 	})
 	desk = transport.NewDesk(deskAt, voteWithin, r.News, r.Voted, func(address string, why error) {
 		if why == nil {
@@ -124,13 +148,13 @@
 		} else {
 			log.Warn("the platform is lost", "address", address, "cause", why)
 		}
-	}, chance)
+	}, lots)
 	if err := protocol.News(news, r.News); err != nil {
 		return fmt.Errorf(`field "pipeline.news": %w`, err)
 	}
 	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte) (int64, error) {
 		return r.Listed(text, zones, models, false)
-	}, r.ListFailed, chance)
+	}, r.ListFailed, lots)
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
@@ -145,6 +169,11 @@
 		return err
 	}
 	go desk.Run(ctx)
+	if agent != nil {
+		background := make(chan struct{}) // it holds the store until it has ended
+		go func() { defer close(background); agent.Run(ctx) }()
+		defer func() { stop(); <-background }()
+	}
 	if !mustAsk {
 		go discovery.Keep(ctx)
 	}
@@ -167,6 +196,11 @@
 				discovery.Move(listAt)
 				desk.Move(votesAt)
 			}
+			if agent != nil {
+				if err := agent.Reload(trustFile); err != nil {
+					log.Error("the operator's file stays as it was", "cause", err)
+				}
+			}
 		case got := <-ended:
 			if rested != nil {
 				continue // it ends already
--- a/cmd/laurelring/main_test.go
+++ b/cmd/laurelring/main_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,7 +19,11 @@
 	"testing"
 	"time"
 
+	"github.com/theupdateframework/go-tuf/v2/metadata"
 	"github.com/tidwall/redcon"
+
+	"laurelring/internal/store"
+	"laurelring/internal/tuftest"
 )
 
 const settings = `{"rank":0,"balancers":2,"locality":0,"period_ms":5,"areas":["a"],"host_types":["m"],"lanes":[
@@ -679,6 +685,133 @@
 	return strings.TrimRight(word, "\r\n"), err
 }
 
+// Where the operator has builds vouched for, one whose target is not signed gets nothing: commands are refused in their
+// time, with a time to come back. Once the release desk has signed it, it serves; while the mirrors fail it serves on.
+func TestOnlyWhatWasSigned(t *testing.T) {
+	repo := tuftest.New(true, time.Now)
+	m := tuftest.NewMirror(repo.Files)
+	defer m.Close()
+	folder := t.TempDir()
+	if err := os.WriteFile(folder+"/root.json", repo.FirstRoot(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf(`{"root":"root.json","store":"kept","mirrors":[%q],"refresh_every_ms":1000,"stall_ms":200,"builds":"builds/{build}.json"}`, m.URL)
+	if err := os.WriteFile(folder+"/trust.json", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("RELAY_TRUST", folder+"/trust.json")
+	w := start(t, 1024)
+	time.Sleep(300 * time.Millisecond)
+	if got := w.ask(time.Second, book("a", "x")); !strings.HasPrefix(got, "-BUSY ") || w.ran.Load() > 0 {
+		t.Errorf("not signed: %q, %d ran", got, w.ran.Load())
+	}
+	repo.Put(metadata.TARGETS, "builds/1.json", []byte("{}"), 0)
+	repo.Publish()
+	m.Sync(repo.Files)
+	begun := time.Now()
+	for w.ask(time.Second, book("a", "x")) != "$1\r\nx\r\n" {
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("signed, and yet it gets nothing")
+		}
+	}
+	m.Plant(tuftest.Stall(0))
+	time.Sleep(1500 * time.Millisecond)
+	if got := w.ask(time.Second, book("a", "x")); got != "$1\r\nx\r\n" {
+		t.Errorf("while the mirrors fail: %q", got)
+	}
+	w.kind <- syscall.SIGTERM
+	if err := <-w.ended; err != nil {
+		t.Error(err)
+	}
+	w.kind <- syscall.SIGTERM // nothing is left to clean up
+	if s, err := store.Open(folder + "/kept"); err != nil || len(s.Records()) == 0 {
+		t.Errorf("what it kept: %v", err)
+	} else {
+		s.Close()
+	}
+	// A file with a fault ends the start.
+	if err := os.WriteFile(folder+"/trust.json", []byte(`{"root":"root.json"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := run([]byte(w.config.Load().(string)), nil, nil, nil); err == nil || !strings.Contains(err.Error(), `field "mirrors": is missing`) {
+		t.Errorf("an operator's file with a fault: %v", err)
+	}
+}
+
+// A flood of commands while metadata are refreshed each second: none is lost or late, and the refreshes go on. What it
+// costs the commands is logged.
+func TestRefreshUnderAFlood(t *testing.T) {
+	const clients, each = 24, 100
+	repo := tuftest.New(true, time.Now)
+	repo.Put(metadata.TARGETS, "builds/1.json", []byte("{}"), 0)
+	repo.Publish()
+	m := tuftest.NewMirror(repo.Files)
+	defer m.Close()
+	folder := t.TempDir()
+	os.WriteFile(folder+"/root.json", repo.FirstRoot(), 0o600)
+	os.WriteFile(folder+"/trust.json", fmt.Appendf(nil, `{"root":"root.json","store":"kept","mirrors":[%q],"refresh_every_ms":1000,"builds":"builds/{build}.json"}`, m.URL), 0o600)
+	for _, file := range []string{"", folder + "/trust.json"} {
+		t.Setenv("RELAY_TRUST", file)
+		w := start(t, 1024)
+		time.Sleep(400 * time.Millisecond)
+		var allocs [2]runtime.MemStats
+		runtime.ReadMemStats(&allocs[0])
+		asked := m.Asked.Load()
+		took := make(chan time.Duration, clients*each)
+		var all sync.WaitGroup
+		for range clients {
+			all.Go(func() {
+				conn, err := net.Dial("tcp", w.listen)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for range each {
+					var b []byte
+					b = redcon.AppendArray(b, 4)
+					for _, word := range strings.Split(read("a"), " ") {
+						b = redcon.AppendBulkString(b, word)
+					}
+					begun := time.Now()
+					conn.Write(b)
+					conn.SetReadDeadline(begun.Add(2 * time.Second))
+					if line, err := in.ReadString('\n'); err != nil || line[0] == '-' && !strings.HasPrefix(line, "-BUSY") {
+						t.Errorf("%q, %v", line, err)
+						return
+					} else if line[0] == '$' {
+						in.ReadString('\n')
+					}
+					took <- time.Since(begun)
+					time.Sleep(40 * time.Millisecond)
+				}
+			})
+		}
+		all.Wait()
+		close(took)
+		runtime.ReadMemStats(&allocs[1])
+		var sorted []time.Duration
+		for one := range took {
+			sorted = append(sorted, one)
+		}
+		slices.Sort(sorted)
+		n := len(sorted)
+		if n != clients*each {
+			t.Errorf("%d of %d commands got an answer", n, clients*each)
+			continue
+		}
+		t.Logf("metadata refreshed: %t; %d commands: p50 %v, p99 %v, %d allocations a command; %d requests to the mirror", file != "",
+			n, sorted[n/2].Round(time.Microsecond), sorted[n*99/100].Round(time.Microsecond), (allocs[1].Mallocs-allocs[0].Mallocs)/uint64(n), m.Asked.Load()-asked)
+		if file != "" && m.Asked.Load()-asked < 2 {
+			t.Error("the flood keeps the metadata from being refreshed")
+		}
+		w.kind <- syscall.SIGTERM
+		<-w.ended
+		w.kind <- syscall.SIGTERM // nothing is left to clean up
+	}
+}
+
 // A bad configuration is told in one line, before anything listens.
 func TestBadConfigurations(t *testing.T) {
 	for text, want := range map[string]string{"{": "JSON", "{}": `field "name" is missing`} {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"laurelring/choice"
@@ -38,11 +39,13 @@
 	Post  func(to int, text []byte) // to all gateways where the number is below 0
 	Vote  func(choice.Vote)
 	Watch func()
+	Build func(build int) // the list names a build that it has not named for long; may be nil
 }
 
 const (
 	eventsMost = 1024             // that wait; whoever brings a further one waits
 	goneFor    = 60 * time.Second // an instance that the list no longer names is remembered so long
+	buildsMost = 64               // that are remembered
 	olderFor   = 15 * time.Second // by then a list that only comes older than held is taken to count anew
 )
 
@@ -60,10 +63,12 @@
 	instances map[string]*instance
 	numbered  map[uint32]*choice.Instance
 	known     map[*choice.Instance]*instance
-	endsAt    int64  // when the gateway is ended for good; 0 while it is not to
-	revision  int64  // of the list held
-	olderAt   int64  // since then only older ones have come; 0 if none has
-	stands    [3]int // the build, stage and phase last told
+	endsAt    int64        // when the gateway is ended for good; 0 while it is not to
+	revision  int64        // of the list held
+	olderAt   int64        // since then only older ones have come; 0 if none has
+	builds    []int        // listed lately
+	waiting   atomic.Int64 // commands that are held
+	stands    [3]int       // the build, stage and phase last told
 	due       timers
 	order     int
 }
@@ -135,6 +140,7 @@
 	now := r.clock()
 	r.expire(now)
 	wait := r.chores(now)
+	r.waiting.Store(int64(r.gateway.Waiting()))
 	if len(r.due) > 0 {
 		wait = min(wait, r.due[0].until-now)
 	}
@@ -214,6 +220,7 @@
 				i.goneAt = now
 			}
 			named[i.it] = true
+			r.meet(build)
 			r.gateway.ToldInstance(i.it, ready, present, build, zone, model, cell, size, startedAt, now)
 		})
 		if whole {
@@ -252,6 +259,28 @@
 	return nil
 }
 
+// meet tells of builds as they are first listed.
+func (r *Router) meet(build int) {
+	if r.outside.Build == nil || slices.Contains(r.builds, build) {
+		return
+	}
+	if r.builds = append(r.builds, build); len(r.builds) > buildsMost {
+		r.builds = r.builds[1:]
+	}
+	r.outside.Build(build)
+}
+
+// Vouched tells whether a build is what was signed.
+func (r *Router) Vouched(build int, so bool) {
+	r.events <- func(now int64) {
+		r.gateway.ToldVouched(build, so)
+		r.withhold(now)
+	}
+}
+
+// Busy tells whether commands wait for room. It may be asked by anyone.
+func (r *Router) Busy() bool { return r.waiting.Load() > 0 }
+
 // ListFailed tells that the list could not be asked, or that its watch broke.
 func (r *Router) ListFailed(err error) {
 	r.events <- func(now int64) {
--- a/internal/transport/desk.go
+++ b/internal/transport/desk.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laurelring/choice"
+	"laurelring/internal/chance"
 	"laurelring/internal/protocol"
 )
 
@@ -17,7 +18,7 @@
 	told   func(build, stage int, phase choice.Phase, most float64, since int64)
 	voted  func(how choice.Outcome)
 	state  func(address string, why error) // without a reason it is heard
-	chance *Chance
+	chance *chance.Chance
 	votes  chan choice.Vote
 	moved  chan struct{} // holds one once the address has changed
 	number int           // of the last call
@@ -42,7 +43,7 @@
 // how a vote ended, and of the connection's coming and going.
 func NewDesk(address string, within time.Duration,
 	told func(build, stage int, phase choice.Phase, most float64, since int64), voted func(how choice.Outcome),
-	state func(address string, why error), chance *Chance) *Desk {
+	state func(address string, why error), chance *chance.Chance) *Desk {
 	return &Desk{address: address, within: within, told: told, voted: voted, state: state, chance: chance,
 		votes: make(chan choice.Vote, votesMost), moved: make(chan struct{}, 1)}
 }
@@ -80,7 +81,7 @@
 // Run keeps the connection until the context ends. One that was heard is replaced soon, one after another
 // that is not, later each time.
 func (d *Desk) Run(ctx context.Context) {
-	d.rest(ctx, d.chance.Below(deskFirst))
+	d.rest(ctx, d.chance.Time(deskFirst))
 	for pause := deskAgain; ctx.Err() == nil; {
 		number := d.number + 1
 		address := d.at()
@@ -95,7 +96,7 @@
 			continue
 		}
 		d.state(address, err)
-		d.rest(ctx, pause+d.chance.Below(pause))
+		d.rest(ctx, pause+d.chance.Time(pause))
 		pause = min(2*pause, deskMost)
 	}
 }
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"laurelring/internal/chance"
 	"laurelring/internal/protocol"
 )
 
@@ -19,7 +20,7 @@
 	wait     time.Duration
 	told     func(text []byte) (revision int64, err error)
 	failed   func(error)
-	chance   *Chance
+	chance   *chance.Chance
 	revision int64
 	watching atomic.Bool
 
@@ -42,7 +43,7 @@
 // NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
 func NewDiscovery(address string, wait time.Duration, revision int64,
-	told func(text []byte) (revision int64, err error), failed func(error), chance *Chance) *Discovery {
+	told func(text []byte) (revision int64, err error), failed func(error), chance *chance.Chance) *Discovery {
 	wait = min(wait, waitMost)
 	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
 		chance: chance,
@@ -70,7 +71,7 @@
 	for ctx.Err() == nil {
 		d.failed(d.watch(ctx))
 		select {
-		case <-time.After(keepAgain/2 + d.chance.Below(keepAgain)):
+		case <-time.After(keepAgain/2 + d.chance.Time(keepAgain)):
 		case <-ctx.Done():
 		}
 	}
@@ -113,7 +114,7 @@
 // up soon: the connection may stand for ever. One that goes on slowly, to a gateway short of processor time say,
 // is read until the call's whole time is over. To leave a call that has ended does nothing.
 func (d *Discovery) call(ctx context.Context, leave context.CancelFunc, address string) error {
-	wait := d.wait - d.chance.Below(d.wait/waitLot)
+	wait := d.wait - d.chance.Time(d.wait/waitLot)
 	stalled := time.AfterFunc(wait+graceAfterWait, leave)
 	defer stalled.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { stalled.Reset(moreWithin) }})
--- /dev/null
+++ b/internal/tuf/operator.go
@@ -0,0 +1,188 @@
+package tuf
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"laurelring/internal/mirror"
+	"laurelring/internal/store"
+	"laurelring/internal/trust"
+)
+
+//go:embed operator.schema.json
+var schema []byte
+
+// Operator is what an operator's file says. A file with a fault is rejected whole.
+type Operator struct {
+	Root           string   `json:"root"`
+	Store          string   `json:"store"`
+	Mirrors        []string `json:"mirrors"`
+	Draining       []string `json:"draining"`
+	RefreshEveryMs int64    `json:"refresh_every_ms"`
+	RefreshMs      int64    `json:"refresh_within_ms"`
+	FetchMs        int64    `json:"fetch_within_ms"`
+	StandsMs       int64    `json:"stands_ms"`
+	SlackMs        int64    `json:"clock_slack_ms"`
+	Builds         string   `json:"builds"`
+	Bytes          struct {
+		Root      int64 `json:"root"`
+		Timestamp int64 `json:"timestamp"`
+		Snapshot  int64 `json:"snapshot"`
+		Targets   int64 `json:"targets"`
+	} `json:"bytes"`
+	Attempts int   `json:"attempts"`
+	StallMs  int64 `json:"stall_ms"`
+	Pace     int64 `json:"pace_bytes_per_s"`
+
+	root []byte
+}
+
+// Fault is what is wrong with an operator's file.
+type Fault struct {
+	File, Field, Reason string
+}
+
+func (f *Fault) Error() string {
+	if f.Field == "" {
+		return fmt.Sprintf("%s: %s", f.File, f.Reason)
+	}
+	return fmt.Sprintf("%s: field %q: %s", f.File, f.Field, f.Reason)
+}
+
+// Load reads an operator's file, with the root that it names.
+func Load(file string) (*Operator, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Fault{File: file, Reason: err.Error()}
+	}
+	o, fault := Parse(text)
+	if fault != nil {
+		fault.File = file
+		return nil, fault
+	}
+	at := func(path string) string {
+		if path == "" || filepath.IsAbs(path) {
+			return path
+		}
+		return filepath.Join(filepath.Dir(file), path)
+	}
+	o.Root, o.Store = at(o.Root), at(o.Store)
+	if o.root, err = os.ReadFile(o.Root); err != nil {
+		return nil, &Fault{file, "root", err.Error()}
+	}
+	return o, nil
+}
+
+// Parse checks a text against the schema and reads it.
+func Parse(text []byte) (*Operator, *Fault) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return nil, &Fault{Reason: "it is not JSON: " + err.Error()}
+	}
+	rules, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return nil, &Fault{Reason: "the schema is not JSON: " + err.Error()}
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("operator.json", rules); err != nil {
+		return nil, &Fault{Reason: err.Error()}
+	}
+	s, err := c.Compile("operator.json")
+	if err != nil {
+		return nil, &Fault{Reason: err.Error()}
+	}
+	if err := s.Validate(doc); err != nil {
+		return nil, first(err)
+	}
+	o := &Operator{RefreshEveryMs: 600_000, RefreshMs: 30_000, FetchMs: 300_000,
+		StandsMs: trust.Ordinary.Stands / 1e6, SlackMs: trust.Ordinary.ClockSlack / 1e6}
+	o.Bytes.Root, o.Bytes.Timestamp = trust.Ordinary.Root, trust.Ordinary.Timestamp
+	o.Bytes.Snapshot, o.Bytes.Targets = trust.Ordinary.Snapshot, trust.Ordinary.Targets
+	o.Attempts, o.StallMs, o.Pace = mirror.Ordinary.Attempts, mirror.Ordinary.Stall.Milliseconds(), mirror.Ordinary.Pace
+	if err := json.Unmarshal(text, o); err != nil {
+		return nil, &Fault{Reason: err.Error()}
+	}
+	for i, name := range o.Draining {
+		if !slices.Contains(o.Mirrors, name) {
+			return nil, &Fault{Field: fmt.Sprint("draining.", i), Reason: "is not among the mirrors"}
+		}
+	}
+	if o.Builds != "" && !trust.SafePath(o.target(1)) {
+		return nil, &Fault{Field: "builds", Reason: "the target's path could leave its folder"}
+	}
+	return o, nil
+}
+
+// first words the first fault that the schema finds, with the field's place.
+func first(err error) *Fault {
+	var bad *jsonschema.ValidationError
+	if !errors.As(err, &bad) {
+		return &Fault{Reason: err.Error()}
+	}
+	for len(bad.Causes) > 0 {
+		bad = bad.Causes[0]
+	}
+	field := strings.Join(bad.InstanceLocation, ".")
+	switch k := bad.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		return &Fault{Field: strings.Join(append(bad.InstanceLocation, k.Properties[0]), "."), Reason: "is not known"}
+	case *kind.Required:
+		return &Fault{Field: strings.Join(append(bad.InstanceLocation, k.Missing[0]), "."), Reason: "is missing"}
+	}
+	return &Fault{Field: field, Reason: bad.ErrorKind.LocalizedString(message.NewPrinter(language.English))}
+}
+
+// target is the target that vouches for a build.
+func (o *Operator) target(build int) string {
+	return strings.ReplaceAll(o.Builds, "{build}", strconv.Itoa(build))
+}
+
+// RefreshWithin, FetchWithin and RefreshEvery are the file's times.
+func (o *Operator) RefreshWithin() time.Duration {
+	return time.Duration(o.RefreshMs) * time.Millisecond
+}
+
+// FetchWithin is how long a fetch of a target may take.
+func (o *Operator) FetchWithin() time.Duration { return time.Duration(o.FetchMs) * time.Millisecond }
+
+// RefreshEvery is how often an agent refreshes.
+func (o *Operator) RefreshEvery() time.Duration {
+	return time.Duration(o.RefreshEveryMs) * time.Millisecond
+}
+
+// Client makes a client as the file says, with its store, which the caller closes.
+func (o *Operator) Client(seed uint64, now func() int64, watch Watcher) (*Client, *store.Store, error) {
+	kept := store.Memory()
+	if o.Store != "" {
+		var err error
+		if kept, err = store.Open(o.Store); err != nil {
+			return nil, nil, err
+		}
+	}
+	limits := trust.Ordinary
+	limits.Root, limits.Timestamp, limits.Snapshot, limits.Targets = o.Bytes.Root, o.Bytes.Timestamp, o.Bytes.Snapshot, o.Bytes.Targets
+	limits.Stands, limits.ClockSlack = o.StandsMs*1e6, o.SlackMs*1e6
+	pace := mirror.Ordinary
+	pace.Attempts, pace.Stall, pace.Pace = o.Attempts, time.Duration(o.StallMs)*time.Millisecond, o.Pace
+	c, err := New(o.root, limits, mirror.NewPool(o.Mirrors, seed, pace), kept, now, watch)
+	if err != nil {
+		kept.Close()
+		return nil, nil, err
+	}
+	c.Drain(o.Draining)
+	return c, kept, nil
+}
