--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -55,6 +55,7 @@
 	busy    string // the field of a load report that tells how busy an instance is
 	outside Outside
 	events  chan func(now int64)
+	done    chan struct{} // closed at the end
 	clock   func() int64
 
 	commands  map[*choice.Command]*inHand
@@ -104,7 +105,7 @@
 
 // New makes a router of a gateway; the clock gives whole nanoseconds and never goes back.
 func New(g *choice.Gateway, busy string, clock func() int64, outside Outside) *Router {
-	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost),
+	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost), done: make(chan struct{}),
 		commands: map[*choice.Command]*inHand{}, ids: map[string]*inHand{}, clients: map[Client]*inHand{},
 		instances: map[string]*instance{}, numbered: map[uint32]*choice.Instance{},
 		known: map[*choice.Instance]*instance{}}
@@ -112,6 +113,7 @@
 
 // Run tells, asks and obeys until the context ends.
 func (r *Router) Run(ctx context.Context) {
+	defer close(r.done)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -272,9 +274,12 @@
 
 // Vouched tells whether a build is what was signed.
 func (r *Router) Vouched(build int, so bool) {
-	r.events <- func(now int64) {
+	select {
+	case r.events <- func(now int64) {
 		r.gateway.ToldVouched(build, so)
 		r.withhold(now)
+	}:
+	case <-r.done: // whoever tells is waited for at the end
 	}
 }
 
--- a/internal/trust/keeper.go
+++ b/internal/trust/keeper.go
@@ -39,18 +39,21 @@
 	Anew    bool   // an older version may follow: the keys that made the last one are no longer trusted
 }
 
-// fresh names the record of the moment of the last refresh.
-const fresh = "fresh"
+const (
+	fresh = "fresh" // names the record of the moment of the last refresh
+	seen  = "seen"  // and that of a newer timestamp, whose refresh did not end well: no older one is taken after it
+)
 
 // Keeper keeps what is trusted. It is owned by one goroutine.
 type Keeper struct {
 	limits  Limits
 	root    []byte
-	kept    map[string][]byte // of each other role the bytes last trusted, also in a refresh under way
+	kept    map[string][]byte // of each other role the bytes last trusted
 	current *trustedmetadata.TrustedMetadata
 	freshAt int64 // when a refresh last ended well; 0 if none has
 
 	next      *trustedmetadata.TrustedMetadata // under way
+	staged    map[string][]byte                // what it has brought
 	rotations int
 	dirty     map[string]bool // records that have changed
 	anew      map[string]bool // and were dropped in between
@@ -132,7 +135,7 @@
 	if refused := k.clock(now); refused != nil {
 		return refused
 	}
-	k.next, k.rotations = k.fresh(now), 0
+	k.next, k.rotations, k.staged = k.fresh(now), 0, map[string][]byte{}
 	return nil
 }
 
@@ -200,7 +203,7 @@
 		if refused := k.load(want.Role, text, false); refused != nil {
 			return refused
 		}
-		k.keep(want.Role, text)
+		k.staged[want.Role] = text
 		k.reuse()
 		return nil
 	}
@@ -219,6 +222,13 @@
 		if !sameKeys(was.Signed.Roles[role], k.next.Root.Signed.Roles[role]) {
 			k.drop(metadata.TIMESTAMP)
 			k.drop(metadata.SNAPSHOT)
+			k.drop(seen)
+		}
+	}
+	// What keys signed that the root no longer names stands no longer, whatever becomes of this refresh.
+	for _, role := range []string{metadata.TIMESTAMP, metadata.SNAPSHOT, metadata.TARGETS} {
+		if !sameKeys(was.Signed.Roles[role], k.next.Root.Signed.Roles[role]) {
+			k.current = nil
 		}
 	}
 	return nil
@@ -231,20 +241,30 @@
 		return k.Fail(want.Role)
 	}
 	k.rotations = atTimestamp
-	if had := k.kept[metadata.TIMESTAMP]; had != nil { // guards against a way back; it may have expired since
-		k.next.UpdateTimestamp(had)
+	for _, name := range []string{metadata.TIMESTAMP, seen} { // guards against a way back; they may have expired since
+		if had := k.kept[name]; had != nil {
+			k.next.UpdateTimestamp(had)
+		}
 	}
 	return nil
 }
 
 // Fail ends a refresh of which a file could not be had: what was trusted stands.
 func (k *Keeper) Fail(of string) *Refusal {
-	k.next = nil
+	k.Abandon()
 	return refuse(Unavailable, of, "no mirror brought it")
 }
 
-// Abandon ends a refresh: what was trusted stands.
-func (k *Keeper) Abandon() { k.next = nil }
+// Abandon ends a refresh: what was trusted stands, and no timestamp older than one that was seen is taken from here on.
+func (k *Keeper) Abandon() {
+	if k.next == nil {
+		return
+	}
+	if text := k.staged[metadata.TIMESTAMP]; text != nil {
+		k.keep(seen, text)
+	}
+	k.next, k.staged = nil, nil
+}
 
 // reuse goes on with what is kept where it is still what the newer metadata name, and ends the refresh.
 func (k *Keeper) reuse() {
@@ -257,7 +277,11 @@
 	if k.next.Targets[metadata.TARGETS] == nil {
 		return
 	}
-	k.current, k.next = k.next, nil
+	for role, text := range k.staged { // each by itself: their order does not matter
+		k.keep(role, text)
+	}
+	k.drop(seen)
+	k.current, k.next, k.staged = k.next, nil, nil
 	k.freshAt = k.current.RefTime.UnixNano()
 	k.dirty[fresh] = true
 	for _, role := range k.delegated() { // they may be of another time: they are verified again as they are needed
@@ -487,7 +511,7 @@
 // back, and the last refresh is not too long ago.
 func (k *Keeper) Standing(now int64) *Refusal {
 	if k.current == nil {
-		return refuse(NeverRefreshed, "metadata", "nothing has been trusted yet")
+		return refuse(NeverRefreshed, "metadata", "nothing has been trusted yet by the keys that the root names")
 	}
 	if refused := k.clock(now); refused != nil {
 		return refused
--- a/internal/trust/search.go
+++ b/internal/trust/search.go
@@ -124,7 +124,7 @@
 }
 
 // reserved names stand for records of their own.
-var reserved = []string{metadata.ROOT, metadata.TIMESTAMP, metadata.SNAPSHOT, metadata.TARGETS, fresh}
+var reserved = []string{metadata.ROOT, metadata.TIMESTAMP, metadata.SNAPSHOT, metadata.TARGETS, fresh, seen}
 
 // take verifies a delegated role. One whose name could leave a folder, or stands for something else, is none.
 func (s *Search) take(at edge, text []byte) *Refusal {
@@ -200,7 +200,7 @@
 func (k *Keeper) delegated() []string {
 	var all []string
 	for role := range k.kept {
-		if role != metadata.TIMESTAMP && role != metadata.SNAPSHOT && role != metadata.TARGETS {
+		if !slices.Contains(reserved, role) {
 			all = append(all, role)
 		}
 	}
--- a/internal/tuf/agent.go
+++ b/internal/tuf/agent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laurelring/internal/schedule"
+	"laurelring/internal/trust"
 )
 
 // Agent keeps trust fresh beside a gateway, in the background, and tells which builds may be taken. It decides neither
@@ -28,6 +29,7 @@
 const (
 	buildsMost = 64 // builds that are known at once; the earliest are forgotten
 	askedMost  = 64
+	checkEvery = 5 * time.Second // what expires meanwhile is told this late
 	cleanEvery = time.Hour
 )
 
@@ -36,7 +38,7 @@
 	a := &Agent{operator: o, client: c, plan: schedule.New(seed, schedule.Ordinary), busy: busy, told: told,
 		asked: make(chan int, askedMost), begun: time.Now()}
 	a.refresh = &schedule.Job{Name: "refresh", Priority: 2, Every: o.RefreshEvery(), Descriptors: 2}
-	a.check = &schedule.Job{Name: "builds", Priority: 1, Every: o.RefreshEvery(), Descriptors: 2}
+	a.check = &schedule.Job{Name: "builds", Priority: 1, Every: min(o.RefreshEvery(), checkEvery), Descriptors: 2}
 	a.clean = &schedule.Job{Name: "clean-up", Every: cleanEvery}
 	return a
 }
@@ -113,6 +115,9 @@
 		_, refused := a.client.Target(ctx, a.operator.target(build), a.operator.RefreshWithin(), &spent)
 		if a.bytes += spent.Bytes; refused != nil {
 			slog.Warn("a build is not trusted", "build", build, "cause", refused)
+			if refused.Reason == trust.Unavailable {
+				continue // what was told stands until its time is over
+			}
 		}
 		a.told(build, refused == nil)
 	}
--- a/internal/tuf/client_test.go
+++ b/internal/tuf/client_test.go
@@ -679,3 +679,56 @@
 		t.Error("they are never asked again")
 	}
 }
+
+// A refresh that ends midway, and a restart after it: what was trusted before stands, and the newer timestamp that was
+// seen is not gone back behind.
+func TestInterruptedRefresh(t *testing.T) {
+	w := newWorld(t, true)
+	w.folder = t.TempDir()
+	c := w.client(1)
+	w.refresh(c)
+	old := w.repo.Files["timestamp.json"]
+	w.repo.Publish()
+	w.sync()
+	w.plant(tuftest.Only("snapshot.json", tuftest.Fail))
+	if _, refused := c.Refresh(context.Background(), 500*time.Millisecond); reason(refused) != trust.Unavailable {
+		t.Fatal(refused)
+	}
+	if c = w.client(2); c.Trusted(target) != nil {
+		t.Errorf("after the restart: %v", c.Trusted(target))
+	}
+	w.plant(nil)
+	w.repo.Files["timestamp.json"] = old
+	w.sync()
+	if got := w.refresh(c); got != trust.RolledBack {
+		t.Errorf("behind what was seen: %v", got)
+	}
+	w.repo.Stamp()
+	w.sync()
+	if got := w.refresh(c); got != trust.None {
+		t.Errorf("good again: %v", got)
+	}
+}
+
+// A root that replaces keys takes what they signed along, also where the rest of the refresh fails, and over a restart.
+func TestReplacedKeysTakeTheirsAlong(t *testing.T) {
+	w := newWorld(t, true)
+	w.folder = t.TempDir()
+	c := w.client(1)
+	w.refresh(c)
+	w.repo.NextRoot(func() { w.repo.Replace(metadata.TARGETS) })
+	w.sync()
+	w.plant(tuftest.Only("timestamp.json", tuftest.Fail))
+	for range 2 {
+		if _, refused := c.Refresh(context.Background(), 500*time.Millisecond); refused == nil || reason(c.Trusted(target)) != trust.NeverRefreshed {
+			t.Errorf("%v; %v", refused, c.Trusted(target))
+		}
+		c = w.client(2)
+	}
+	w.plant(nil)
+	w.repo.Publish()
+	w.sync()
+	if got := w.refresh(c); got != trust.None || c.Trusted(target) != nil {
+		t.Errorf("%v, %v", got, c.Trusted(target))
+	}
+}
