--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -152,8 +152,8 @@
 	if err := protocol.News(news, r.News); err != nil {
 		return fmt.Errorf(`field "pipeline.news": %w`, err)
 	}
-	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte) (int64, error) {
-		return r.Listed(text, zones, models, false)
+	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte, anew bool) (int64, error) {
+		return r.Listed(text, zones, models, false, anew)
 	}, r.ListFailed, lots)
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -165,7 +165,7 @@
 			r.Command(op, key, id, left, again, to)
 		}, func(to *transport.Answer) { r.Gone(to) })
 	go r.Run(ctx)
-	if _, err := r.Listed(known, zones, models, true); err != nil {
+	if _, err := r.Listed(known, zones, models, true, false); err != nil {
 		return err
 	}
 	go desk.Run(ctx)
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -8,6 +8,9 @@
 	"github.com/tidwall/gjson"
 )
 
+// ErrOlder says that an answer to a watch is older than the list that is held.
+var ErrOlder = errors.New("the list is older than the one held")
+
 // ListMost is the size of the longest list that is read.
 const ListMost = 8 << 20
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,7 +5,6 @@
 import (
 	"container/heap"
 	"context"
-	"errors"
 	"hash/fnv"
 	"log/slog"
 	"slices"
@@ -46,7 +45,6 @@
 	eventsMost = 1024             // that wait; whoever brings a further one waits
 	goneFor    = 60 * time.Second // an instance that the list no longer names is remembered so long
 	buildsMost = 64               // that are remembered
-	olderFor   = 15 * time.Second // by then a list that only comes older than held is taken to count anew
 )
 
 // Router keeps the commands in hand and the timers.
@@ -101,6 +99,10 @@
 	number  uint32
 	address string
 	goneAt  int64 // 0 while it is listed
+	down    int64 // the newest revision by which it drained or was gone
+
+	startedAt int64
+	build     int
 }
 
 // New makes a router of a gateway; the clock gives whole nanoseconds and never goes back.
@@ -194,8 +196,9 @@
 	}
 }
 
-// Listed tells an answer of discovery, or the list as it was known at the start; it gives the revision.
-func (r *Router) Listed(text []byte, zones, models []string, cached bool) (revision int64, err error) {
+// Listed tells an answer of discovery, or the list as it was known at the start; it gives the revision. A list that was
+// asked for anew, from no revision on, may be of an older one than held: discovery came back with what it had before.
+func (r *Router) Listed(text []byte, zones, models []string, cached, anew bool) (revision int64, err error) {
 	type result struct {
 		revision int64
 		err      error
@@ -204,23 +207,34 @@
 	r.events <- func(now int64) {
 		named := map[*choice.Instance]bool{}
 		revision, whole, err := protocol.List(text, zones, models, nil)
-		if err == nil {
-			err = r.current(revision, whole, now)
+		if err == nil && revision < r.revision && !(anew && whole) {
+			err = protocol.ErrOlder // it would undo drains that were told
 		}
 		if err != nil {
 			done <- result{revision, err}
 			return
 		}
+		r.revision = revision
 		protocol.List(text, zones, models, func(id, address string, ready, present bool,
 			build, zone, model, cell int, size float64, startedAt int64) {
 			i := r.instance(id)
 			if i.address != "" && i.address != address || !present {
 				r.outside.Drop(i.address)
 			}
+			// What drained or went by a newer list stays so, until it starts anew or discovery has counted beyond.
+			if ready && i.down > revision && i.startedAt == startedAt && i.build == build {
+				ready = false
+			}
 			i.address, i.goneAt = address, 0
 			if !present {
 				i.goneAt = now
 			}
+			if present {
+				i.startedAt, i.build = startedAt, build
+			}
+			if !ready {
+				i.down = max(i.down, revision)
+			}
 			named[i.it] = true
 			r.meet(build)
 			r.gateway.ToldInstance(i.it, ready, present, build, zone, model, cell, size, startedAt, now)
@@ -229,7 +243,7 @@
 			r.gateway.ToldOnly(named, now)
 			for _, i := range r.instances {
 				if !named[i.it] && i.goneAt == 0 {
-					i.goneAt = now
+					i.goneAt, i.down = now, max(i.down, revision)
 					r.outside.Drop(i.address)
 				}
 			}
@@ -243,24 +257,6 @@
 	return got.revision, got.err
 }
 
-var errOlder = errors.New("the list is older than the one held")
-
-// current tells whether an answer of discovery is no older than the list held: one that is would undo drains
-// that were told. Where nothing but older ones comes for long, discovery counts anew, and a whole list starts
-// over.
-func (r *Router) current(revision int64, whole bool, now int64) error {
-	switch {
-	case revision >= r.revision:
-	case r.olderAt == 0:
-		r.olderAt = now
-		return errOlder
-	case !whole || now-r.olderAt < int64(olderFor):
-		return errOlder
-	}
-	r.revision, r.olderAt = revision, 0
-	return nil
-}
-
 // meet tells of builds as they are first listed.
 func (r *Router) meet(build int) {
 	if r.outside.Build == nil || slices.Contains(r.builds, build) {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,10 +19,11 @@
 type Discovery struct {
 	client   *http.Client
 	wait     time.Duration
-	told     func(text []byte) (revision int64, err error)
+	told     func(text []byte, anew bool) (revision int64, err error)
 	failed   func(error)
 	chance   *chance.Chance
 	revision int64
+	anew     bool // the next call asks for all, from no revision on: discovery may not know of ours
 	watching atomic.Bool
 
 	mu      sync.Mutex
@@ -37,13 +39,14 @@
 	waitLot        = 3
 	graceAfterWait = 1200 * time.Millisecond // after its wait an answer may still come: discovery takes calls in turn
 	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
+	unknownAfter   = time.Second             // a call turned away so late may not have found our revision: the next asks for all
 	keepAgain      = time.Second             // after a failed call, and up to half as much less or more by lot
 )
 
 // NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
 // to tell of an answer, which gives its revision, or of a failure.
 func NewDiscovery(address string, wait time.Duration, revision int64,
-	told func(text []byte) (revision int64, err error), failed func(error), chance *chance.Chance) *Discovery {
+	told func(text []byte, anew bool) (revision int64, err error), failed func(error), chance *chance.Chance) *Discovery {
 	wait = min(wait, waitMost)
 	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
 		chance: chance,
@@ -118,7 +121,11 @@
 	stalled := time.AfterFunc(wait+graceAfterWait, leave)
 	defer stalled.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { stalled.Reset(moreWithin) }})
-	url := fmt.Sprintf("http://%s/discovery/hosts?after=%d&wait_ms=%d", address, d.revision, wait.Milliseconds())
+	begun, anew := time.Now(), d.anew
+	url := fmt.Sprintf("http://%s/discovery/hosts", address)
+	if d.anew = false; !anew {
+		url += fmt.Sprintf("?after=%d&wait_ms=%d", d.revision, wait.Milliseconds())
+	}
 	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -129,16 +136,18 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
+		d.anew = time.Since(begun) >= unknownAfter
 		return fmt.Errorf("discovery answered %s", answer.Status)
 	}
 	text, err := io.ReadAll(io.LimitReader(&going{answer.Body, stalled}, protocol.ListMost))
 	if err != nil {
 		return err
 	}
-	revision, err := d.told(text)
+	revision, err := d.told(text, anew)
 	if err == nil {
 		d.revision = revision
 	}
+	d.anew = errors.Is(err, protocol.ErrOlder)
 	return err
 }
 
