--- a/internal/tuf/client_test.go
+++ b/internal/tuf/client_test.go
@@ -732,3 +732,18 @@
 		t.Errorf("%v, %v", got, c.Trusted(target))
 	}
 }
+
+// Whatever an operator's file holds, it is rejected in words or read within the bounds of the schema.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"root":"r","mirrors":["http://127.0.0.1:1/"],"builds":"b/{build}"}`))
+	f.Add([]byte(`{"root":"r","mirrors":[],"bytes":{"root":-1}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		o, fault := Parse(text)
+		if fault != nil && fault.Reason == "" {
+			t.Error("rejected without a reason")
+		}
+		if o != nil && (o.Root == "" || len(o.Mirrors) == 0 || o.Bytes.Root < 1024 || o.RefreshWithin() <= 0 || o.Attempts < 1) {
+			t.Errorf("taken: %q", text)
+		}
+	})
+}
