--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -23,7 +23,7 @@
 	failed   func(error)
 	chance   *chance.Chance
 	revision int64
-	anew     bool // the next call asks for all, from no revision on: discovery may not know of ours
+	anew     bool // the next call asks for all, from no revision on: discovery has come back with an older list
 	watching atomic.Bool
 
 	mu      sync.Mutex
@@ -39,7 +39,6 @@
 	waitLot        = 3
 	graceAfterWait = 1200 * time.Millisecond // after its wait an answer may still come: discovery takes calls in turn
 	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
-	unknownAfter   = time.Second             // a call turned away so late may not have found our revision: the next asks for all
 	keepAgain      = time.Second             // after a failed call, and up to half as much less or more by lot
 )
 
@@ -121,7 +120,7 @@
 	stalled := time.AfterFunc(wait+graceAfterWait, leave)
 	defer stalled.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { stalled.Reset(moreWithin) }})
-	begun, anew := time.Now(), d.anew
+	anew := d.anew
 	url := fmt.Sprintf("http://%s/discovery/hosts", address)
 	if d.anew = false; !anew {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", d.revision, wait.Milliseconds())
@@ -136,7 +135,6 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		d.anew = time.Since(begun) >= unknownAfter
 		return fmt.Errorf("discovery answered %s", answer.Status)
 	}
 	text, err := io.ReadAll(io.LimitReader(&going{answer.Body, stalled}, protocol.ListMost))
