--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -241,7 +241,7 @@
 			return
 		}
 		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
-			if l.in.forget(l) {
+			if l.in.rested(l) {
 				return // it has stood idle for long enough
 			}
 		} else if err != nil {
@@ -341,9 +341,9 @@
 // giveIdle lets a connection stand for the next delivery, unless it has ended.
 func (in *Instances) giveIdle(l *link) {
 	now := time.Now()
-	l.conn.SetReadDeadline(now.Add(in.idleFor)) // read ends then, if nothing was sent since
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	l.conn.SetReadDeadline(now.Add(in.idleFor)) // read ends then, if nothing was sent since
 	l.mu.Lock()
 	closed := l.closed
 	l.mu.Unlock()
@@ -370,6 +370,18 @@
 	return true
 }
 
+// rested takes a connection off the idle ones whose time is over. One that a delivery has just taken has no such time:
+// to read again at once would turn round for ever where nothing else gets to run.
+func (in *Instances) rested(l *link) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	idle := in.remove(l)
+	if !idle {
+		l.conn.SetReadDeadline(time.Time{})
+	}
+	return idle
+}
+
 func (in *Instances) forget(l *link) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/transport/instances_test.go
+++ b/internal/transport/instances_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -223,3 +224,35 @@
 		t.Errorf("%d idle, %d held", len(in.all), in.share.held)
 	}
 }
+
+// Standing test, calm+mass: a connection was taken in the moment in which its idle time was over; its reader turned round
+// for ever, the delivery's goroutine never got to run, and the gateway answered nothing any more.
+func TestTakenAsItsIdleTimeEnds(t *testing.T) {
+	in := carrier(time.Second)
+	l, far, _ := stale(t, in)
+	l.conn.SetReadDeadline(time.Now().Add(-time.Second)) // over, and it stands among the idle ones no longer
+	spent := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			t.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	before := spent()
+	go l.read()
+	time.Sleep(300 * time.Millisecond) // until the delivery's goroutine gets to run
+	if used := spent() - before; used > 150*time.Millisecond {
+		t.Errorf("its reader used %v of processor time in 300 ms", used)
+	}
+	came := make(chan outcome, 1)
+	s := &Sending{until: time.Now().Add(time.Second), words: func(int64) []byte { return []byte("ask\n") },
+		ended: func(how choice.Outcome, value, _ []byte) { came <- outcome{how, string(value)} }}
+	go l.write(s, true)
+	if line, err := bufio.NewReader(far).ReadString('\n'); line != "ask\n" {
+		t.Fatal(line, err)
+	}
+	io.WriteString(far, served)
+	if got := wait(t, came); got != (outcome{choice.Acked, "ok"}) {
+		t.Errorf("%v", got)
+	}
+}
