--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -338,9 +338,6 @@
 // Last is how the last attempt ended, if one has, and none is under way.
 func (f *Fetch) Last() (how How, ended bool) { return f.last, f.to == nil && f.attempts > 0 }
 
-// Have is how many bytes are verified.
-func (f *Fetch) Have() int64 { return f.have }
-
 // State is what is known of a mirror.
 type State struct {
 	Name    string `json:"mirror"`
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -64,7 +64,6 @@
 	known     map[*choice.Instance]*instance
 	endsAt    int64        // when the gateway is ended for good; 0 while it is not to
 	revision  int64        // of the list held
-	olderAt   int64        // since then only older ones have come; 0 if none has
 	builds    []int        // listed lately
 	waiting   atomic.Int64 // commands that are held
 	stands    [3]int       // the build, stage and phase last told
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -249,12 +249,8 @@
 	if err != nil {
 		return false
 	}
-	waiting := false
-	raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = err == nil && n > 0
-	})
-	return waiting
+	n, err := peek(raw)
+	return err == nil && n > 0
 }
 
 // reset has the connection end in a reset where all answers have arrived. It tells a client that what crossed
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -195,14 +195,20 @@
 	}
 }
 
-// silent tells whether the connection stands and nothing waits on it to be read. Nothing is read meanwhile.
+// silent tells whether the connection stands and nothing waits on it to be read.
 func (l *link) silent() bool {
-	quiet := false
-	err := l.raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-	})
-	return err == nil && quiet
+	_, err := peek(l.raw)
+	return err == unix.EAGAIN
+}
+
+// peek tells whether a byte waits on a connection, without reading it: 1 if one does, 0 at its end, an error otherwise.
+func peek(raw syscall.RawConn) (n int, err error) {
+	if failed := raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); failed != nil {
+		return 0, failed
+	}
+	return n, err
 }
 
 // spare keeps a connection whose delivery was given up before it began, for another.
