--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,8 +139,11 @@
 	}
 	// A delivery is made only if the time left exceeds the time it is expected to take, and if it can still be
 	// worth something; else the final answer goes out at once.
-	if g.bound(cmd)-now <= int64(g.expected(cmd)) || len(cmd.Deliveries) >= g.limits.deliveries {
-		return g.giveUp(cmd, now)
+	if len(cmd.Deliveries) >= g.limits.deliveries {
+		return g.giveUp(cmd, DeliveriesOut)
+	}
+	if g.bound(cmd)-now <= int64(g.expected(cmd)) {
+		return g.giveUp(cmd, OutOfTime)
 	}
 	if !g.flows(cmd, now) {
 		return g.hold(cmd)
@@ -230,19 +233,19 @@
 
 // giveUp gives the final answer. A nack says that trying again is harmless: only where no delivery can have
 // run, or where a repeat does no harm.
-func (g *Gateway) giveUp(cmd *Command, now int64) Decision {
+func (g *Gateway) giveUp(cmd *Command, why Reason) Decision {
 	g.unhold(cmd)
 	cmd.Ended = true
 	for _, dl := range cmd.Deliveries {
 		if dl.mayRun && !cmd.op.repeats() {
-			return Decision{Act: Fail}
+			return Decision{Act: Fail, Reason: why}
 		}
 	}
 	after := int64(cmd.op.mean)
 	if len(g.held) > 0 {
 		after = g.limits.comeBack // others wait already
 	}
-	return Decision{Act: Nack, After: min(g.limits.comeBack, after)}
+	return Decision{Act: Nack, Reason: why, After: min(g.limits.comeBack, after)}
 }
 
 // repeats tells whether a repeat does no harm at any instance, for a deduplicated command within its
@@ -560,7 +563,7 @@
 		g.unhold(cmd)
 	}
 	if dl.mayRun && cmd.op.kind == AtMostOnce && !cmd.Ended {
-		return g.giveUp(cmd, now)
+		return g.giveUp(cmd, MayHaveRun)
 	}
 	return g.Where(cmd, now)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,9 +82,21 @@
 	Fail
 )
 
+// Reason says why a command got a final answer that is not an instance's.
+type Reason uint8
+
+// The reasons. NoReason goes with decisions that are no final answer.
+const (
+	NoReason      Reason = iota
+	OutOfTime            // the time left is shorter than a delivery is expected to take
+	DeliveriesOut        // it has had as many deliveries as a command may have
+	MayHaveRun           // a delivery may have run, and the command must not run twice
+)
+
 // Decision answers "where to send this command" and "what to do after this outcome".
 type Decision struct {
 	Act      Act
+	Reason   Reason // of a Nack or a Fail
 	To       *Instance
 	For      int64 // ns; the delivery's own time-out
 	After    int64 // ns; advice to the client with a Nack, 0 for none
@@ -384,6 +396,11 @@
 	return [...]string{"on trial", "going back", "released", "taken off"}[p]
 }
 
+// String names a reason for the log.
+func (r Reason) String() string {
+	return [...]string{"none", "out of time", "deliveries used up", "may have run"}[r]
+}
+
 // String names a verdict for the log.
 func (v Verdict) String() string { return [...]string{"none", "on", "hold", "back"}[v] }
 
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -87,7 +87,11 @@
 		return fmt.Errorf(`field "known": %w`, err)
 	}
 
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", name)
+	level, err := logLevel(os.Getenv("RELAY_LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("gateway", name)
 	slog.SetDefault(log)
 	runtime.GOMAXPROCS(int(math.Ceil(cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
@@ -224,6 +228,18 @@
 	}
 }
 
+// logLevel reads from which level on lines are logged: debug, info, warn or error, or info where nothing is said.
+func logLevel(text string) (slog.Level, error) {
+	var level slog.Level
+	if text == "" {
+		return slog.LevelInfo, nil
+	}
+	if err := level.UnmarshalText([]byte(text)); err != nil {
+		return level, fmt.Errorf("RELAY_LOG_LEVEL: %w", err)
+	}
+	return level, nil
+}
+
 // addresses reads what a configuration that is read again may change: where the list and the platform are.
 func addresses(reread func() ([]byte, error)) (discovery, desk string, err error) {
 	text, err := reread()
--- a/cmd/laurelring/main_test.go
+++ b/cmd/laurelring/main_test.go
@@ -814,3 +814,15 @@
 		}
 	}
 }
+
+// The level of the log is read from the environment, and a word that names none is told.
+func TestLogLevel(t *testing.T) {
+	for text, want := range map[string]slog.Level{"": slog.LevelInfo, "debug": slog.LevelDebug, "error": slog.LevelError} {
+		if level, err := logLevel(text); err != nil || level != want {
+			t.Errorf("%q is level %v, %v", text, level, err)
+		}
+	}
+	if _, err := logLevel("loud"); err == nil || !strings.Contains(err.Error(), "RELAY_LOG_LEVEL") {
+		t.Errorf("an unknown level: %v", err)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -69,6 +69,10 @@
 	stands    [3]int       // the build, stage and phase last told
 	due       timers
 	order     int
+	trace     trace
+
+	confirmedAt int64 // when discovery last confirmed the list; 0 before it first has
+	failures    int   // calls for the list that have failed since
 }
 
 // inHand is a command until its final answer is given and nothing of it is out.
@@ -109,7 +113,7 @@
 	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost), done: make(chan struct{}),
 		commands: map[*choice.Command]*inHand{}, ids: map[string]*inHand{}, clients: map[Client]*inHand{},
 		instances: map[string]*instance{}, numbered: map[uint32]*choice.Instance{},
-		known: map[*choice.Instance]*instance{}}
+		known: map[*choice.Instance]*instance{}, trace: newTrace()}
 }
 
 // Run tells, asks and obeys until the context ends.
@@ -166,6 +170,7 @@
 		}
 		c.cmd = r.gateway.Take(op, nil, key, 0, left, now)
 		r.commands[c.cmd], r.clients[client], r.ids[id] = c, c, c
+		r.trace.taken(id, left)
 		r.obey(c, r.gateway.Where(c.cmd, now), now)
 	}
 }
@@ -174,6 +179,7 @@
 func (r *Router) Gone(client Client) {
 	r.events <- func(now int64) {
 		if c := r.clients[client]; c != nil {
+			r.trace.left(c.id)
 			r.gateway.ToldGone(c.cmd)
 			r.withhold(now)
 			r.tidy(c)
@@ -248,6 +254,9 @@
 			}
 		}
 		r.gateway.ToldListEnd(cached, now)
+		if !cached {
+			r.confirmed(now)
+		}
 		r.withhold(now)
 		r.forget(now)
 		done <- result{revision, nil}
@@ -256,6 +265,23 @@
 	return got.revision, got.err
 }
 
+// confirmed notes that discovery has confirmed the list, and logs the end of a time in which it did not.
+func (r *Router) confirmed(now int64) {
+	if r.failures > 0 {
+		slog.Info("the list is confirmed again", "revision", r.revision, "failures", r.failures,
+			"unconfirmed", r.unconfirmed(now))
+	}
+	r.confirmedAt, r.failures = now, 0
+}
+
+// unconfirmed is how long ago discovery last confirmed the list; 0 if it never has.
+func (r *Router) unconfirmed(now int64) time.Duration {
+	if r.confirmedAt == 0 {
+		return 0
+	}
+	return time.Duration(now - r.confirmedAt).Round(time.Millisecond)
+}
+
 // meet tells of builds as they are first listed.
 func (r *Router) meet(build int) {
 	if r.outside.Build == nil || slices.Contains(r.builds, build) {
@@ -284,7 +310,9 @@
 // ListFailed tells that the list could not be asked, or that its watch broke.
 func (r *Router) ListFailed(err error) {
 	r.events <- func(now int64) {
-		slog.Warn("the watch of the list ended", "cause", err)
+		r.failures++
+		slog.Warn("the watch of the list ended", "cause", err, "revision", r.revision, "failures", r.failures,
+			"unconfirmed", r.unconfirmed(now))
 		r.gateway.ToldListFailed(now)
 	}
 }
@@ -330,16 +358,20 @@
 		r.order++
 		c.out[d.Delivery] = f
 		heap.Push(&r.due, f)
-		f.on = r.outside.Send(r.known[d.To].address, time.Now().Add(time.Duration(d.For)), c.words,
+		to := r.known[d.To]
+		r.trace.sent(c.id, to, r.revision, d.Delivery.Number)
+		f.on = r.outside.Send(to.address, time.Now().Add(time.Duration(d.For)), c.words,
 			func(how choice.Outcome, value, load []byte) {
 				r.events <- func(now int64) { r.ended(f, how, value, load, now) }
 			})
 	case choice.Nack:
 		if c.client != nil {
+			r.trace.answered(c.id, "refused", d.Reason)
 			c.client.Nacked(d.After)
 		}
 	case choice.Fail:
 		if c.client != nil {
+			r.trace.answered(c.id, "failed", d.Reason)
 			c.client.Failed()
 		}
 	}
@@ -360,7 +392,9 @@
 		how = choice.Errored // it answers something else
 	}
 	settled := f.of.client == nil
+	r.trace.ended(f.of.id, r.known[f.dl.To], how, now-f.sentAt)
 	if how == choice.Acked && !settled {
+		r.trace.answered(f.of.id, "served", choice.NoReason)
 		f.of.client.Acked(value)
 	}
 	d := r.gateway.After(f.dl, how, now-f.sentAt, settled, now)
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -31,6 +31,20 @@
 	leave   context.CancelFunc // ends the present call
 }
 
+// CallError tells of a call to discovery that brought no list.
+type CallError struct {
+	Revision int64         // the one that was held
+	Took     time.Duration // from the call's beginning to its failure
+	Cause    error
+}
+
+func (e *CallError) Error() string {
+	return fmt.Sprintf("a call from revision %d failed after %v: %v", e.Revision, e.Took, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
 const (
 	// A call that goes unanswered tells so no sooner than after its wait: a third of that is by lot, so that gateways
 	// whose watches fall silent at once find out, and call again, one after the other. With the grace, and two pauses
@@ -99,8 +113,12 @@
 		address := d.address
 		d.leave = leave
 		d.mu.Unlock()
+		begun := time.Now()
 		err := d.call(call, leave, address)
 		leave()
+		if err != nil {
+			err = &CallError{Revision: d.revision, Took: time.Since(begun), Cause: err}
+		}
 		d.mu.Lock()
 		moved := d.address != address
 		d.mu.Unlock()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -233,6 +234,7 @@
 	c.shut = c.shut || quiet
 	c.mu.Unlock()
 	if quiet {
+		slog.Debug("a client's connection is closed", "client", c.RemoteAddr(), "reason", "quiet", "ending", closing)
 		c.reset()
 		c.Close()
 	}
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -89,7 +90,7 @@
 	s.over = true
 	s.mu.Unlock()
 	if begun && !was {
-		l.close()
+		l.close("its delivery was given up")
 	}
 	return begun, was
 }
@@ -143,7 +144,7 @@
 	}
 	l := &link{in: in, address: address, conn: conn.(*net.TCPConn)}
 	if l.raw, err = l.conn.SyscallConn(); err != nil {
-		l.close()
+		l.close(err.Error())
 		s.end(choice.Unconnected, nil, nil)
 		return
 	}
@@ -162,7 +163,7 @@
 	}
 	l.mu.Unlock()
 	if closed {
-		l.close()
+		l.close("it ended or brought more while idle")
 		l.again(s, used)
 		return
 	}
@@ -183,11 +184,11 @@
 	l.mu.Unlock()
 	switch {
 	case err != nil && n == 0:
-		l.close()
+		l.close(err.Error())
 		l.again(s, used)
 	case err != nil:
 		s.end(choice.Unconnected, nil, nil)
-		l.close()
+		l.close(err.Error())
 	case closed:
 		s.end(choice.Broken, nil, nil)
 	case answered: // before it was written
@@ -238,12 +239,14 @@
 // read carries what comes back to the state machine until the connection ends. Nothing but the reply to the
 // delivery in work may come: a connection on which more comes is of no further use.
 func (l *link) read() {
-	defer l.close()
+	reason := "it has stood idle for long enough"
+	defer func() { l.close(reason) }()
 	b, reply := protocol.NewBuffer(protocol.ReplyMost), protocol.Reply{}
 	for {
 		n, s, err := l.receive(b.Room())
 		b.Add(n)
 		if n > 0 && !l.take(s, b, &reply) {
+			reason = "it brought what belongs to no answer"
 			return
 		}
 		if late := net.Error(nil); errors.As(err, &late) && late.Timeout() {
@@ -251,6 +254,7 @@
 				return // it has stood idle for long enough
 			}
 		} else if err != nil {
+			reason = err.Error()
 			return
 		}
 	}
@@ -301,7 +305,7 @@
 	told := s.settle() // before the connection serves another
 	switch {
 	case !sound:
-		l.close()
+		l.close("a spoilt answer")
 	case !writing:
 		l.in.giveIdle(l)
 	}
@@ -311,8 +315,8 @@
 	return sound
 }
 
-// close ends a connection and what it had in work, and gives its descriptor back.
-func (l *link) close() {
+// close ends a connection and what it had in work, and gives its descriptor back. The reason goes to the log.
+func (l *link) close(reason string) {
 	l.mu.Lock()
 	was, s, writing := l.closed, l.work, l.writing
 	l.closed = true
@@ -320,6 +324,7 @@
 	if was {
 		return
 	}
+	slog.Debug("an instance's connection is closed", "address", l.address, "reason", reason)
 	l.in.forget(l)
 	l.conn.Close()
 	l.in.share.give()
@@ -404,7 +409,7 @@
 	}
 	in.mu.Unlock()
 	if l != nil {
-		l.close()
+		l.close("its descriptor is wanted")
 	}
 	return l != nil
 }
@@ -418,6 +423,6 @@
 	}
 	in.mu.Unlock()
 	for _, l := range some {
-		l.close()
+		l.close("its address is no longer listed")
 	}
 }
