--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,10 +56,14 @@
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
 	// The list.
-	askEach  = 10 * ms  // of the fleet's gateways: their first calls to the list spread over so long together,
+	askAlone = 10 * ms  // the first call of a gateway alone comes within this,
+	askEach  = 100 * ms // those of a fleet spread over so long for each further gateway,
 	askFirst = 2 * s    // but no longer than this
 	askAgain = 200 * ms // after a failed call, doubled at each further one, and as much more by lot
-	askMost  = 1600 * ms
+	// A fleet whose calls fail must ask for less than discovery can answer, or its queue never clears: one call of each
+	// gateway in eight seconds is the least that it takes. A pause is one and a half times this in the mean.
+	askMost  = 6400 * ms
+	askCrowd = 5600 * ms // the same at once where all gateways are known to ask, less where fewer do
 
 	// Health.
 	patience     = 6.0      // a delivery is overdue after this many mean times
@@ -259,15 +263,15 @@
 	if cmd.Ended || now >= cmd.lastAnswer || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
 		return false
 	}
-	return to.listed && to.ready && g.taken(to.build) && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
+	return to.listed && to.ready && g.trusted(to, now) && g.taken(to.build) && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
 }
 
 // Stands tells whether a delivery of which nothing has gone out may still go: not once its client has left, its
-// instance drains, is gone or runs another build, or a trial's cap has come down to nothing. Guards against
-// connections that come up late; a lower cap above nothing binds later, with the window.
-func (g *Gateway) Stands(dl *Delivery) bool {
+// instance drains, is gone, runs another build or is no longer trusted to be ready, or a trial's cap has come down to
+// nothing. Guards against connections that come up late; a lower cap above nothing binds later, with the window.
+func (g *Gateway) Stands(dl *Delivery, now int64) bool {
 	to := dl.To
-	return !dl.Cmd.Ended && to.listed && to.ready && to.build == dl.build && g.taken(to.build) &&
+	return !dl.Cmd.Ended && to.listed && to.ready && to.build == dl.build && g.trusted(to, now) && g.taken(to.build) &&
 		!(g.onTrial(dl.build) && dl.build <= g.exposure.build && g.exposure.cap <= 0)
 }
 
@@ -601,6 +605,9 @@
 	case Acked:
 		g.unmet *= 0.9
 		to.saw(1, 0, now)
+		if dl.build == to.build {
+			to.provedAt = max(to.provedAt, dl.sentAt)
+		}
 		to.acked.add(now, g.cold.span)
 		to.failing *= 0.85
 		if to.failing < failingAside { // a machine that fails most and answers some stays on probation
@@ -661,11 +668,14 @@
 	if g.list.mustAsk {
 		g.list.tries++
 		g.list.due = true
-		pause := min(askMost, askAgain<<min(g.list.tries, 10))
+		pause := max(min(askMost, askAgain<<min(g.list.tries, 10)), int64(g.list.crowd*float64(askCrowd)))
 		g.list.askAt = now + pause + int64(g.draw(int(pause/ms)))*ms
 	}
 }
 
+// ToldListCrowd tells which share of the gateways, as far as is known, asks for the list without an answer.
+func (g *Gateway) ToldListCrowd(share float64) { g.list.crowd = share }
+
 // ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the
 // platform's calls are shared by all gateways. One that may have counted is repeated too.
 func (g *Gateway) ToldVote(how Outcome, now int64) {
@@ -903,7 +913,7 @@
 		g.startedAt = now - ms
 		g.judge.totalsAt = now + int64(g.draw(int(poolEvery/ms)))*ms // gateways take turns at the voters
 		if g.list.mustAsk {
-			g.list.askAt = now + int64(g.draw(int(min(askFirst, int64(g.peers)*askEach)/ms)))*ms
+			g.list.askAt = now + int64(g.draw(int(min(askFirst, askAlone+int64(g.peers-1)*askEach)/ms)))*ms
 		}
 	}
 	for i, cmd := range g.held {
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -165,7 +165,7 @@
 	}
 	if startedAt != it.startedAt || build != it.build || it.limit == 0 {
 		it.limit, it.slow, it.strikes, it.asideUntil, it.failing = limitStart, g.model(model).pace, 0, 0, 0
-		it.illUntil, it.good, it.lost, it.sentAt, it.knownAt = 0, 0, 0, 0, now
+		it.illUntil, it.good, it.lost, it.sentAt, it.knownAt, it.provedAt = 0, 0, 0, 0, now, 0
 	}
 	it.ready, it.here, it.build, it.zone, it.model, it.cell = ready && present, present, build, zone, model, cell
 	it.size, it.startedAt = size, startedAt
--- a/choice/state.go
+++ b/choice/state.go
@@ -235,6 +235,7 @@
 	busy       float64     // its own figure, where it reports one
 	toldAt     int64       // when that was told
 	heardAt    int64       // its last sign of life
+	provedAt   int64       // the latest sending of a command of ours that it served: it did not drain then
 	strikes    int         // silent failures in a row
 	asideUntil int64
 	illUntil   int64   // the voters say to leave it alone until then
@@ -331,6 +332,8 @@
 	due     bool
 	askAt   int64
 	tries   int
+	lease   lease
+	crowd   float64 // the share of the gateways that goes without an answer, where it is known
 	power   float64 // the most that was ready at once, without what is on trial
 	places  int     // the same, in instances
 }
--- /dev/null
+++ b/choice/trust.go
@@ -0,0 +1,75 @@
+package choice
+
+// This file decides for how long the list of instances is trusted while nothing confirms it. The list is a lease: each
+// answer of discovery, and each peer that got one, renews it. When it has run out, only instances that prove by their
+// own answers that they do not drain get deliveries; the others wait until the list is confirmed again.
+//
+// It guards against requests to instances that drain or are gone where discovery is overloaded, cut off or silent for
+// this gateway alone: what discovery has to tell counts as told some seconds after it could be reached, whether or not
+// an answer arrived. Whether discovery is down for all or merely overloaded cannot be told apart by one gateway: both
+// look like calls that are refused late.
+
+const (
+	// LearnWithin is how long after discovery had a change, and could be reached, it counts as told.
+	LearnWithin = 6 * s
+	// drainSettles is how long an instance that is listed as draining may still serve new commands. Half a second was
+	// seen; an answer from before that proves nothing.
+	drainSettles = s
+	// listLease is how long the list, or an instance's own proof, stands from the moment for which it was confirmed.
+	listLease = LearnWithin - drainSettles/2
+	// brokenAnswer is how long the list stands after an answer of discovery that did not come whole: what it brought
+	// counts as told when it was written.
+	brokenAnswer = s / 2
+	// firstLease is how long the list that a gateway starts with stands: it may be old, and its changes may count as
+	// told from the first moment on.
+	firstLease = s
+	// movedLease is how long the list stands after discovery has moved: from then on its changes count as told.
+	movedLease = 4 * s
+)
+
+// lease is how long the list held is trusted.
+type lease struct {
+	on        bool
+	until     int64
+	suspectAt int64 // changes from before this moment count as told by then, unheard: older confirmations are void
+}
+
+// LeaseList has the list trusted for no longer than a lease. The first one is short and begins now. Without it the list is trusted for good,
+// as where discovery tells each change unasked and says when it cannot.
+func (g *Gateway) LeaseList(now int64) {
+	g.list.lease = lease{on: true, until: now + firstLease}
+}
+
+// ToldListConfirmed tells that the list held, as far as drains and removals go, was current at a moment: by an answer
+// of discovery, or by a peer that got one.
+func (g *Gateway) ToldListConfirmed(at int64) {
+	l := &g.list.lease
+	if at > l.suspectAt {
+		l.until = max(l.until, at+listLease)
+	}
+}
+
+// ToldListBroken tells that an answer of discovery began and did not come whole.
+func (g *Gateway) ToldListBroken(now int64) { g.list.lease.suspect(now, now+brokenAnswer) }
+
+// ToldListMoved tells that discovery is asked at another address from now on.
+func (g *Gateway) ToldListMoved(now int64) { g.list.lease.suspect(now, now+movedLease) }
+
+// suspect ends the lease early. What instances prove until shortly after that says nothing any more.
+func (l *lease) suspect(now, until int64) {
+	l.until = min(l.until, until)
+	l.suspectAt = max(l.suspectAt, now)
+}
+
+// trusted tells whether the list's word that an instance is ready may be gone by: while the lease runs, or for as long
+// after the instance served a command of ours.
+func (g *Gateway) trusted(it *Instance, now int64) bool {
+	l := &g.list.lease
+	if !l.on || now < l.until {
+		return true
+	}
+	return it.provedAt > l.suspectAt+drainSettles && now < it.provedAt+listLease
+}
+
+// ListTrusted tells whether the list is confirmed at present, for the log.
+func (g *Gateway) ListTrusted(now int64) bool { return !g.list.lease.on || now < g.list.lease.until }
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -17,6 +17,7 @@
 
 	"laurelring/choice"
 	"laurelring/internal/chance"
+	"laurelring/internal/membership"
 	"laurelring/internal/protocol"
 	"laurelring/internal/routing"
 	"laurelring/internal/transport"
@@ -82,7 +83,7 @@
 	if f.Err() != nil {
 		return f.Err()
 	}
-	revision, _, err := protocol.List(known, zones, models, nil)
+	startList, err := protocol.ReadList(known, zones, models)
 	if err != nil {
 		return fmt.Errorf(`field "known": %w`, err)
 	}
@@ -153,11 +154,19 @@
 			log.Warn("the platform is lost", "address", address, "cause", why)
 		}
 	}, lots)
+	gateway.LeaseList(clock())
+	if rank, many := f.Rank(); peers != nil && f.Messages() && many > 1 {
+		r.Share(membership.NewExchange(rank, many, startList.Revision, chance.New(seed).Below, clock()))
+	}
 	if err := protocol.News(news, r.News); err != nil {
 		return fmt.Errorf(`field "pipeline.news": %w`, err)
 	}
-	discovery = transport.NewDiscovery(discoveryAt, askWithin, revision, func(text []byte, anew bool) (int64, error) {
-		return r.Listed(text, zones, models, false, anew)
+	discovery = transport.NewDiscovery(discoveryAt, askWithin, startList.Revision, func(text []byte, anew bool) (int64, error) {
+		list, err := protocol.ReadList(text, zones, models)
+		if err != nil {
+			return 0, err
+		}
+		return r.Listed(list, false, anew)
 	}, r.ListFailed, lots)
 	ln, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -169,7 +178,7 @@
 			r.Command(op, key, id, left, again, to)
 		}, func(to *transport.Answer) { r.Gone(to) })
 	go r.Run(ctx)
-	if _, err := r.Listed(known, zones, models, true, false); err != nil {
+	if _, err := r.Listed(startList, true, false); err != nil {
 		return err
 	}
 	go desk.Run(ctx)
@@ -197,7 +206,9 @@
 				log.Error("the configuration stays as it was", "cause", err)
 			} else {
 				log.Info("the configuration is read again", "discovery", listAt, "platform", votesAt)
-				discovery.Move(listAt)
+				if discovery.Move(listAt) {
+					r.ListMoved()
+				}
 				desk.Move(votesAt)
 			}
 			if agent != nil {
--- /dev/null
+++ b/internal/membership/assembly.go
@@ -0,0 +1,64 @@
+package membership
+
+// partsMost bounds how many parts one view has: more instances than a fleet has do not fit.
+const partsMost = 255
+
+// assembly puts the parts of one sender's view of one revision together. A newer revision, or another sender's view
+// once it is whole first, takes its place.
+type assembly struct {
+	views map[int]*partial // by sender
+}
+
+// sendersMost bounds the views that are put together at once.
+const sendersMost = 8
+
+// partial is a view of which some parts have come.
+type partial struct {
+	revision int64
+	parts    int
+	come     map[int][]uint32
+}
+
+// add takes a part in. It gives the incarnations that are ready once all parts are there, or nil.
+func (a *assembly) add(from int, v View) map[uint32]bool {
+	if v.Parts <= 0 || v.Parts > partsMost || v.Part < 0 || v.Part >= v.Parts {
+		return nil
+	}
+	p := a.views[from]
+	if p == nil || p.revision != v.Revision || p.parts != v.Parts {
+		if p == nil && len(a.views) >= sendersMost {
+			a.views = nil
+		}
+		if a.views == nil {
+			a.views = map[int]*partial{}
+		}
+		p = &partial{revision: v.Revision, parts: v.Parts, come: map[int][]uint32{}}
+		a.views[from] = p
+	}
+	p.come[v.Part] = v.Ready
+	if len(p.come) < p.parts {
+		return nil
+	}
+	a.views = nil
+	ready := map[uint32]bool{}
+	for _, some := range p.come {
+		for _, one := range some {
+			ready[one] = true
+		}
+	}
+	return ready
+}
+
+// Split divides a view into parts of so many incarnations at most. One of no incarnations is one part.
+func Split(revision, age int64, ready []uint32, each int) []View {
+	parts := max(1, (len(ready)+each-1)/each)
+	if parts > partsMost {
+		return nil
+	}
+	views := make([]View, parts)
+	for i := range views {
+		some := ready[min(i*each, len(ready)):min((i+1)*each, len(ready))]
+		views[i] = View{Revision: revision, Age: age, Part: i, Parts: parts, Ready: some}
+	}
+	return views
+}
--- /dev/null
+++ b/internal/membership/exchange.go
@@ -0,0 +1,335 @@
+// Package membership decides how gateways help one another to know which instances are ready while discovery does not
+// answer them all. A gateway that has no fresh answer of discovery queries a few peers; one that has such an answer
+// replies with its revision and, where the asker's is older, with the incarnations that are ready at it. A reply renews
+// the asker's trust in its list, and tells it which of its instances have drained or gone. It never makes an instance
+// known: only discovery does that, as addresses may differ from gateway to gateway.
+//
+// It is anti-entropy by pull: nothing is sent while every gateway follows discovery. Replies that many wait for go out
+// once, to all: a gateway that is about to reply drops its reply if it hears one as good.
+//
+// The package does no I/O and reads no clock. Times are whole nanoseconds of one monotonic clock for each gateway; only
+// ages travel between gateways. All calls come from one goroutine.
+package membership
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	ms = int64(1e6)
+	s  = int64(1e9)
+
+	queryPeers = 3        // peers that are asked at once
+	queryFirst = 100 * ms // by lot: how soon after a failure the first query goes out
+	queryEvery = 500 * ms // and up to as much more by lot
+	// A watch is answered at the latest this long after the last answer. One that is later may have fallen silent.
+	freshFor = 2800 * ms
+	// A reply goes out this late, by lot, so that others' replies are heard before.
+	replyWithin = 100 * ms
+	// askersMany is how many gateways must have queried within askersSpan for a reply to go to all. One alone hears
+	// only a few of a whole fleet's queries.
+	askersMany = 2
+	askersSpan = s
+	// A reply is not worth sending to one that knows nearly as much.
+	newerBy = 300 * ms
+	// A reply that was heard so long before a query, or after it, makes another needless.
+	heardBefore = 300 * ms
+	// A peer's view that discovery does not catch up with for so long is given up: discovery may count anew.
+	ahead = 6 * s
+	// The list that a gateway starts with is taken to be so old.
+	startAge = 3600 * s
+)
+
+// crowdOver is the time constant over which queries heard are counted.
+const crowdOver = 2 * s
+
+// ToAll is the number that stands for all gateways.
+const ToAll = -1
+
+// none stands for no gateway.
+const none = -1
+
+// Query asks a peer what it knows of the list.
+type Query struct {
+	Revision int64 // that the asker knows all drains and removals of
+	Age      int64 // ns since that was known to be current
+}
+
+// View is what a gateway knows of the list from discovery, or a part of it.
+type View struct {
+	Revision int64
+	Age      int64    // ns since discovery confirmed it
+	Part     int      // from 0 on
+	Parts    int      // 0 where only the revision is confirmed, for askers that hold it
+	Ready    []uint32 // the incarnations that are ready, those of this part
+}
+
+// Reply is due to be sent: the list's revision as confirmed so long ago, to one gateway or to all, with the ready
+// incarnations or without.
+type Reply struct {
+	To       int
+	Revision int64
+	Age      int64
+	Whole    bool
+}
+
+// Due is what a gateway is to send now.
+type Due struct {
+	Queried []int // gateways that are asked
+	Query   Query
+	Replies []Reply
+}
+
+// Learned is what a peer's view has brought. Without an incarnation among Ready, where that is not nil, an instance of
+// an older revision has drained or gone.
+type Learned struct {
+	Revision int64
+	At       int64 // the moment for which it holds
+	Ready    map[uint32]bool
+}
+
+// Incarnation numbers an instance as it was started with a build: after a restart, or with another build, it is another.
+func Incarnation(id string, startedAt int64, build int) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, uint64(startedAt)), uint64(build)))
+	return h.Sum32()
+}
+
+// Exchange is one gateway's part in it.
+type Exchange struct {
+	rank, peers int
+	draw        func(below int64) int64
+
+	following   bool  // a watch of discovery stands
+	confirmedAt int64 // when discovery last answered
+	held        int64 // the revision it then told
+	known       int64 // the revision of which all drains and removals are known, from discovery or peers
+	currentAt   int64 // when that was last known to be current
+
+	queryAt int64
+	source  int          // a gateway of which a newer revision was heard that could not be taken in, or none
+	askers  []asker      // the latest, each once, askersMany at most
+	single  []request    // replies that wait to go to one gateway
+	all     *request     // the one that waits to go to all, or nil
+	heard   confirmation // the latest reply that was heard
+	queries float64      // heard lately, fading
+	heardAt int64        // when they were last counted
+	parts   assembly
+}
+
+// asker is a gateway that has queried, and when it last did.
+type asker struct {
+	rank int
+	at   int64
+}
+
+// request is a query, or several, that waits for its reply.
+type request struct {
+	to      int
+	whole   bool  // an older revision is held: the ready incarnations are asked for
+	askedAt int64 // the latest query, of those for the ready incarnations if there are any
+	dueAt   int64
+}
+
+// confirmation is a reply that was heard: a revision, and the moment for which it was confirmed.
+type confirmation struct {
+	revision, at, heardAt int64
+	whole                 bool // it had the ready incarnations
+}
+
+// serves tells whether a reply that was heard makes another to this asker needless. Where the ready incarnations are
+// asked for, one heard before did not bring them.
+func (c confirmation) serves(one *request, revision int64) bool {
+	if c.revision < revision {
+		return false
+	}
+	if one.whole {
+		return c.whole && c.heardAt >= one.askedAt
+	}
+	return c.heardAt > one.askedAt-heardBefore
+}
+
+// NewExchange takes the gateway's number, how many gateways there are, the revision of the list it starts with, a
+// source of seeded chance, and the present moment.
+func NewExchange(rank, peers int, revision int64, draw func(below int64) int64, now int64) *Exchange {
+	e := &Exchange{rank: rank, peers: peers, draw: draw, held: revision, known: revision, currentAt: now - startAge,
+		source: none}
+	e.Unconfirmed(now)
+	return e
+}
+
+// Confirmed tells that discovery has answered, with the revision that is now held. It tells whether the list is so
+// current: not while a peer's view is of a newer revision, unless discovery counts anew.
+func (e *Exchange) Confirmed(revision int64, anew bool, now int64) bool {
+	e.following, e.confirmedAt, e.held = true, now, revision
+	if revision < e.known && !anew && now-e.currentAt < ahead {
+		return false
+	}
+	e.known, e.currentAt = revision, now
+	return true
+}
+
+// Known is the revision of which all drains and removals are known.
+func (e *Exchange) Known() int64 { return e.known }
+
+// Unconfirmed tells that no watch of discovery stands: a call has failed, or discovery has moved.
+func (e *Exchange) Unconfirmed(now int64) {
+	if e.following || e.queryAt == 0 {
+		e.queryAt = now + e.lot(queryFirst)
+	}
+	e.following = false
+}
+
+// fresh tells whether discovery has confirmed the list lately enough to tell others.
+func (e *Exchange) fresh(now int64) bool { return e.following && now-e.confirmedAt <= freshFor }
+
+// Queried takes a peer's query in.
+func (e *Exchange) Queried(from int, q Query, now int64) {
+	e.queries = e.faded(now) + 1
+	e.heardAt = now
+	newer := e.held > q.Revision || e.held == q.Revision && now-e.confirmedAt+newerBy < q.Age
+	if !e.fresh(now) || !newer {
+		return
+	}
+	whole := e.held > q.Revision
+	if e.manyAsk(from, now) {
+		e.replyToAll(whole, now)
+	} else if len(e.single) < askersMany {
+		e.single = append(e.single, request{to: from, whole: whole, askedAt: now, dueAt: now + e.lot(replyWithin)})
+	}
+}
+
+// manyAsk tells whether this query is one of several gateways' lately.
+func (e *Exchange) manyAsk(from int, now int64) bool {
+	e.askers = slices.DeleteFunc(e.askers, func(one asker) bool { return one.rank == from || now-one.at >= askersSpan })
+	if len(e.askers) >= askersMany {
+		e.askers = e.askers[1:]
+	}
+	e.askers = append(e.askers, asker{from, now})
+	return len(e.askers) >= askersMany
+}
+
+// replyToAll has a reply go to all gateways, for this query as well.
+func (e *Exchange) replyToAll(whole bool, now int64) {
+	if e.all == nil {
+		e.all = &request{to: ToAll, dueAt: now + e.lot(replyWithin)}
+	}
+	if whole || !e.all.whole {
+		e.all.whole, e.all.askedAt = whole, now
+	}
+}
+
+// Crowd estimates which share of the gateways goes without discovery at present, from 0 to 1: each of them queries a few
+// peers drawn by lot, again and again, so that the queries heard tell how many there are.
+func (e *Exchange) Crowd(now int64) float64 {
+	if e.peers < 2 {
+		return 0
+	}
+	each := float64(min(queryPeers, e.peers-1)) / (float64(queryEvery) * 1.5)
+	return min(1, e.faded(now)/(each*float64(crowdOver)))
+}
+
+func (e *Exchange) faded(now int64) float64 {
+	return e.queries * math.Exp(-float64(now-e.heardAt)/float64(crowdOver))
+}
+
+// Told takes a peer's view in. It gives what was learned, or nil.
+func (e *Exchange) Told(from int, v View, now int64) *Learned {
+	at := now - max(v.Age, 0)
+	if v.Revision >= e.heard.revision && at > e.heard.at {
+		e.heard = confirmation{v.Revision, at, now, v.Parts > 0}
+	}
+	if v.Revision < e.known || v.Revision == e.known && at <= e.currentAt {
+		return nil
+	}
+	if v.Revision == e.known {
+		e.currentAt = at
+		return &Learned{Revision: v.Revision, At: at}
+	}
+	ready := e.parts.add(from, v)
+	if ready == nil { // parts are missing, or it was meant for others: its sender is asked
+		if e.source == none {
+			e.queryAt = min(e.queryAt, now+replyWithin+e.lot(queryFirst))
+		}
+		e.source = from
+		return nil
+	}
+	e.known, e.currentAt, e.source = v.Revision, at, none
+	return &Learned{Revision: v.Revision, At: at, Ready: ready}
+}
+
+// Next gives what is to be sent now, and how long it may take until it is asked again.
+func (e *Exchange) Next(now int64) (Due, int64) {
+	due, wait := Due{}, 10*s
+	if !e.fresh(now) {
+		if now >= e.queryAt {
+			due.Queried = e.some()
+			due.Query = Query{Revision: e.known, Age: now - e.currentAt}
+			e.queryAt = now + queryEvery + e.lot(queryEvery)
+		}
+		wait = e.queryAt - now
+	} else {
+		wait = e.confirmedAt + freshFor + ms - now
+	}
+	due.Replies = e.replies(now)
+	for i := range e.single {
+		wait = min(wait, e.single[i].dueAt-now)
+	}
+	if e.all != nil {
+		wait = min(wait, e.all.dueAt-now)
+	}
+	return due, max(wait, ms)
+}
+
+// replies gives the replies whose time has come.
+func (e *Exchange) replies(now int64) []Reply {
+	var due []Reply
+	if e.all != nil && now >= e.all.dueAt {
+		if reply, ok := e.reply(e.all, now); ok {
+			due = append(due, reply)
+			e.heard = confirmation{e.held, e.confirmedAt, now, reply.Whole}
+		}
+		e.all = nil
+	}
+	e.single = slices.DeleteFunc(e.single, func(one request) bool {
+		if now < one.dueAt {
+			return false
+		}
+		if reply, ok := e.reply(&one, now); ok {
+			due = append(due, reply)
+		}
+		return true
+	})
+	return due
+}
+
+// reply answers a request, unless a reply as good was heard or there is nothing fresh to tell any more.
+func (e *Exchange) reply(one *request, now int64) (Reply, bool) {
+	if !e.fresh(now) || e.heard.serves(one, e.held) {
+		return Reply{}, false
+	}
+	return Reply{To: one.to, Revision: e.held, Age: now - e.confirmedAt, Whole: one.whole}, true
+}
+
+// some draws a few other gateways, beside the one that is known to hold a newer revision.
+func (e *Exchange) some() []int {
+	var drawn []int
+	if e.source != none {
+		drawn = append(drawn, e.source)
+		e.source = none
+	}
+	for range min(queryPeers, e.peers-1) - len(drawn) {
+		one := int(e.draw(int64(e.peers - 1)))
+		if one >= e.rank {
+			one++
+		}
+		drawn = append(drawn, one)
+	}
+	return drawn
+}
+
+func (e *Exchange) lot(below int64) int64 { return e.draw(below/ms) * ms }
--- /dev/null
+++ b/internal/membership/exchange_test.go
@@ -0,0 +1,181 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// network is some gateways that exchange queries and views, of which a share is lost.
+type network struct {
+	now     int64
+	dice    *rand.Rand
+	all     []*Exchange
+	ready   []uint32 // at the newest revision
+	lost    int      // in a hundred
+	sent    int
+	learned []int64 // the newest revision that each has learned of
+	wrong   string
+	cut     func(from, to int) bool
+}
+
+func newNetwork(gateways int, seed uint64) *network {
+	n := &network{now: 1000 * s, dice: rand.New(rand.NewPCG(seed, 1)), learned: make([]int64, gateways),
+		cut: func(int, int) bool { return false }}
+	for i := range gateways {
+		n.all = append(n.all, NewExchange(i, gateways, 1, n.dice.Int64N, n.now))
+	}
+	return n
+}
+
+func (n *network) deliver(from, to int, tell func(e *Exchange, to int)) {
+	for i, e := range n.all {
+		if i == from || to != ToAll && to != i {
+			continue
+		}
+		if n.sent++; n.dice.IntN(100) >= n.lost && !n.cut(from, i) {
+			tell(e, i)
+		}
+	}
+}
+
+func (n *network) run(span int64) {
+	for end := n.now + span; n.now < end; n.now += 5 * ms {
+		for from, e := range n.all {
+			due, wait := e.Next(n.now)
+			if wait <= 0 {
+				n.wrong = "no wait"
+			}
+			for _, to := range due.Queried {
+				n.deliver(from, to, func(e *Exchange, _ int) { e.Queried(from, due.Query, n.now) })
+			}
+			for _, reply := range due.Replies {
+				views := []View{{Revision: reply.Revision, Age: reply.Age}}
+				if reply.Whole {
+					views = Split(reply.Revision, reply.Age, n.ready, 50)
+				}
+				for _, view := range views {
+					n.deliver(from, reply.To, func(e *Exchange, to int) { n.told(e, from, to, view) })
+				}
+			}
+		}
+	}
+}
+
+func (n *network) told(e *Exchange, from, to int, view View) {
+	learned := e.Told(from, view, n.now)
+	if learned == nil {
+		return
+	}
+	if learned.At > n.now {
+		n.wrong = "a confirmation from the future"
+	}
+	if learned.Ready == nil {
+		return
+	}
+	if learned.Revision <= n.learned[to] {
+		n.wrong = fmt.Sprintf("revision %d learned after %d", learned.Revision, n.learned[to])
+	}
+	if n.learned[to] = learned.Revision; len(learned.Ready) != len(n.ready) {
+		n.wrong = fmt.Sprintf("%d of %d incarnations", len(learned.Ready), len(n.ready))
+	}
+}
+
+// One gateway of a fleet hears of a newer list from discovery; all others, which hear nothing, learn of it from it within
+// three seconds though a fifth of the messages are lost, and stay confirmed, by a bounded number of messages.
+func TestOneAnswerServesTheFleet(t *testing.T) {
+	for _, gateways := range []int{2, 3, 24, 300} {
+		n := newNetwork(gateways, uint64(gateways))
+		n.lost = 20
+		for i := range 140 {
+			n.ready = append(n.ready, Incarnation(fmt.Sprint("s-", i), 0, 1))
+		}
+		n.run(2 * s)
+		if slices.Max(n.learned) != 0 {
+			t.Errorf("%d gateways: something was learned though nobody was told", gateways)
+		}
+		n.sent = 0
+		for range 5 { // its watch stands, and is answered every second
+			n.all[0].Confirmed(7, false, n.now)
+			n.run(s)
+		}
+		for i, revision := range n.learned[1:] {
+			if age := n.now - n.all[i+1].currentAt; revision != 7 || age > 4*s {
+				t.Errorf("%d gateways: gateway %d has revision %d, confirmed %d ms ago", gateways, i+1, revision, age/ms)
+				break
+			}
+		}
+		if each := n.sent / gateways / 5; each > 80 {
+			t.Errorf("%d gateways: %d messages a second came to each", gateways, each)
+		}
+		if n.wrong != "" {
+			t.Errorf("%d gateways: %s", gateways, n.wrong)
+		}
+	}
+}
+
+// While all follow discovery nothing is sent. How many do not is told by the queries that are heard.
+func TestQuietWhileAllFollow(t *testing.T) {
+	const gateways = 40
+	n := newNetwork(gateways, 5)
+	follow := func(many int) {
+		for range 6 {
+			for _, e := range n.all[:many] {
+				e.Confirmed(2, false, n.now)
+			}
+			n.run(s)
+		}
+	}
+	follow(gateways)
+	if n.sent = 0; n.all[0].Crowd(n.now) > 0.1 {
+		t.Errorf("a crowd of %.2f where all follow", n.all[0].Crowd(n.now))
+	}
+	follow(gateways)
+	if n.sent > 0 {
+		t.Errorf("%d messages while all follow", n.sent)
+	}
+	for _, without := range []int{gateways / 2, gateways} {
+		for _, e := range n.all[gateways-without:] {
+			e.Unconfirmed(n.now)
+		}
+		follow(gateways - without)
+		sum := 0.0
+		for _, e := range n.all {
+			sum += e.Crowd(n.now) / gateways
+		}
+		if want := float64(without) / gateways; sum < 0.7*want || sum > 1.3*want {
+			t.Errorf("%d of %d go without an answer, which is told as %.2f", without, gateways, sum)
+		}
+	}
+}
+
+// An older view, one that is not whole, or an older confirmation changes nothing; a gateway that is cut off from all that
+// were told learns nothing.
+func TestOlderViewsChangeNothing(t *testing.T) {
+	e := NewExchange(0, 3, 5, func(int64) int64 { return 0 }, s)
+	for _, v := range []View{{Revision: 4, Parts: 1}, {Revision: 6, Parts: 2, Part: 0, Ready: []uint32{1}},
+		{Revision: 6, Parts: 2, Part: 2}, {Revision: 6, Parts: 2, Part: -1}, {Revision: 6, Parts: 0}} {
+		if learned := e.Told(1, v, 10*s); learned != nil {
+			t.Errorf("%+v told %+v", v, learned)
+		}
+	}
+	if learned := e.Told(1, View{Revision: 6, Parts: 2, Part: 1, Ready: []uint32{2}, Age: s}, 10*s); learned == nil ||
+		len(learned.Ready) != 2 || learned.At != 9*s {
+		t.Errorf("two parts told %+v", learned)
+	}
+	if learned := e.Told(2, View{Revision: 6, Age: 2 * s}, 10*s); learned != nil {
+		t.Errorf("an older confirmation told %+v", learned)
+	}
+	if !e.Confirmed(9, false, 11*s) || e.Confirmed(8, false, 12*s) || !e.Confirmed(8, true, 12*s) || e.Known() != 8 {
+		t.Error("a list older than what is known counts as current, or one that discovery counts anew does not")
+	}
+	n := newNetwork(6, 9)
+	n.ready = []uint32{1}
+	n.cut = func(from, to int) bool { return from < 3 != (to < 3) }
+	n.all[0].Confirmed(3, false, n.now)
+	n.run(2 * s)
+	if n.learned[1] != 3 || n.learned[2] != 3 || slices.Max(n.learned[3:]) != 0 {
+		t.Errorf("learned %v over a cut", n.learned)
+	}
+}
--- a/internal/protocol/facts.go
+++ b/internal/protocol/facts.go
@@ -164,6 +164,12 @@
 // Models names the kinds of machine in their order.
 func (f *Facts) Models() []string { return f.words("host_types") }
 
+// Rank is the gateway's number and how many gateways there are. It is read after Gateway, which tells of faults.
+func (f *Facts) Rank() (rank, gateways int) { return f.count("rank"), f.count("balancers") }
+
+// Messages tells whether gateways may send one another messages.
+func (f *Facts) Messages() bool { return f.is("limits.peer_messages") }
+
 // MustAsk tells whether the list of instances must be asked for its changes.
 func (f *Facts) MustAsk() bool { return f.word("registry_mode") == "ask" }
 
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/tidwall/gjson"
 )
@@ -11,41 +13,75 @@
 // ErrOlder says that an answer to a watch is older than the list that is held.
 var ErrOlder = errors.New("the list is older than the one held")
 
+// CallError tells of a call to discovery that brought no list.
+type CallError struct {
+	Revision int64         // the one that was held
+	Took     time.Duration // from the call's beginning to its failure
+	Begun    bool          // an answer had begun: what it would have told may have been written
+	Cause    error
+}
+
+func (e *CallError) Error() string {
+	return fmt.Sprintf("a call from revision %d failed after %v: %v", e.Revision, e.Took, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
 // ListMost is the size of the longest list that is read.
 const ListMost = 8 << 20
 
-// List reads an answer of discovery and tells its entries one by one. Nothing is told of one that cannot be
-// read whole. Names of zones and models are found by their order in the settings; an unknown one counts as
-// one more. Without a call it is only checked.
-func List(text []byte, zones, models []string, each func(id, address string, ready, present bool, build, zone,
-	model, cell int, size float64, startedAt int64)) (revision int64, whole bool, err error) {
+// Member is one instance as the list shows it.
+type Member struct {
+	ID, Address string
+	Ready       bool // it takes new commands
+	Present     bool // it runs or drains; else it is gone, and only its ID is sure to be told
+	Build       int
+	Zone        int // by their order in the settings; one more than those for an unknown name
+	Model       int
+	Cell        int
+	Size        float64
+	StartedAt   int64 // ns of Unix time; 0 for long ago
+}
+
+// List is an answer of discovery: all members, or those that have changed.
+type List struct {
+	Revision int64
+	Whole    bool
+	Members  []Member
+}
+
+// ReadList reads an answer of discovery. One that cannot be read whole is an error, and nothing of it is given. Names
+// of zones and models are found by their order in the settings.
+func ReadList(text []byte, zones, models []string) (*List, error) {
 	if !gjson.ValidBytes(text) {
-		return 0, false, errors.New("the list is not JSON")
+		return nil, errors.New("the list is not JSON")
 	}
 	root := gjson.ParseBytes(text)
 	members := root.Get("members")
 	if root.Get("revision").Type != gjson.Number || !members.IsArray() {
-		return 0, false, errors.New("the list lacks its revision or members")
+		return nil, errors.New("the list lacks its revision or members")
 	}
+	list := &List{Revision: root.Get("revision").Int(), Whole: root.Get("complete").Bool()}
 	for _, m := range members.Array() {
 		if err := sound(m); err != nil {
-			return 0, false, err
+			return nil, err
 		}
+		list.Members = append(list.Members, readMember(m, zones, models))
 	}
-	for _, m := range members.Array() {
-		if each == nil {
-			break
-		}
-		size := 1.0
-		if v := m.Get("size"); v.Type == gjson.Number {
-			size = v.Num
-		}
-		phase := m.Get("phase").Str
-		each(m.Get("id").Str, m.Get("host_port").Str, phase == "up", phase == "up" || phase == "draining",
-			int(m.Get("build").Int()), place(zones, m.Get("locality").Str), place(models, m.Get("flavor").Str),
-			int(m.Get("cell").Int()), size, asNs(m.Get("up_since_ms").Num))
+	return list, nil
+}
+
+func readMember(m gjson.Result, zones, models []string) Member {
+	size := 1.0
+	if v := m.Get("size"); v.Type == gjson.Number {
+		size = v.Num
 	}
-	return root.Get("revision").Int(), root.Get("complete").Bool(), nil
+	phase := m.Get("phase").Str
+	return Member{ID: m.Get("id").Str, Address: m.Get("host_port").Str, Ready: phase == "up",
+		Present: phase == "up" || phase == "draining", Build: int(m.Get("build").Int()),
+		Zone: place(zones, m.Get("locality").Str), Model: place(models, m.Get("flavor").Str),
+		Cell: int(m.Get("cell").Int()), Size: size, StartedAt: asNs(m.Get("up_since_ms").Num)}
 }
 
 // sound tells what a member lacks. An unknown word in place of a phase would read as a machine that is gone.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -63,16 +63,13 @@
 	numbered  map[uint32]*choice.Instance
 	known     map[*choice.Instance]*instance
 	endsAt    int64        // when the gateway is ended for good; 0 while it is not to
-	revision  int64        // of the list held
 	builds    []int        // listed lately
 	waiting   atomic.Int64 // commands that are held
 	stands    [3]int       // the build, stage and phase last told
 	due       timers
 	order     int
 	trace     trace
-
-	confirmedAt int64 // when discovery last confirmed the list; 0 before it first has
-	failures    int   // calls for the list that have failed since
+	list      lists
 }
 
 // inHand is a command until its final answer is given and nothing of it is out.
@@ -95,25 +92,12 @@
 	at     int // in the timers
 }
 
-// instance is what the list told of one.
-type instance struct {
-	it      *choice.Instance
-	id      string
-	number  uint32
-	address string
-	goneAt  int64 // 0 while it is listed
-	down    int64 // the newest revision by which it drained or was gone
-
-	startedAt int64
-	build     int
-}
-
 // New makes a router of a gateway; the clock gives whole nanoseconds and never goes back.
 func New(g *choice.Gateway, busy string, clock func() int64, outside Outside) *Router {
 	return &Router{gateway: g, busy: busy, outside: outside, clock: clock, events: make(chan func(int64), eventsMost), done: make(chan struct{}),
 		commands: map[*choice.Command]*inHand{}, ids: map[string]*inHand{}, clients: map[Client]*inHand{},
 		instances: map[string]*instance{}, numbered: map[uint32]*choice.Instance{},
-		known: map[*choice.Instance]*instance{}, trace: newTrace()}
+		known: map[*choice.Instance]*instance{}, trace: newTrace(), list: lists{trusted: true}}
 }
 
 // Run tells, asks and obeys until the context ends.
@@ -147,6 +131,10 @@
 	now := r.clock()
 	r.expire(now)
 	wait := r.chores(now)
+	if r.list.exchange != nil {
+		wait = min(wait, r.exchangeViews(now))
+	}
+	r.logTrust(now)
 	r.waiting.Store(int64(r.gateway.Waiting()))
 	if len(r.due) > 0 {
 		wait = min(wait, r.due[0].until-now)
@@ -201,87 +189,6 @@
 	}
 }
 
-// Listed tells an answer of discovery, or the list as it was known at the start; it gives the revision. A list that was
-// asked for anew, from no revision on, may be of an older one than held: discovery came back with what it had before.
-func (r *Router) Listed(text []byte, zones, models []string, cached, anew bool) (revision int64, err error) {
-	type result struct {
-		revision int64
-		err      error
-	}
-	done := make(chan result, 1)
-	r.events <- func(now int64) {
-		named := map[*choice.Instance]bool{}
-		revision, whole, err := protocol.List(text, zones, models, nil)
-		if err == nil && revision < r.revision && !(anew && whole) {
-			err = protocol.ErrOlder // it would undo drains that were told
-		}
-		if err != nil {
-			done <- result{revision, err}
-			return
-		}
-		r.revision = revision
-		protocol.List(text, zones, models, func(id, address string, ready, present bool,
-			build, zone, model, cell int, size float64, startedAt int64) {
-			i := r.instance(id)
-			if i.address != "" && i.address != address || !present {
-				r.outside.Drop(i.address)
-			}
-			// What drained or went by a newer list stays so, until it starts anew or discovery has counted beyond.
-			if ready && i.down > revision && i.startedAt == startedAt && i.build == build {
-				ready = false
-			}
-			i.address, i.goneAt = address, 0
-			if !present {
-				i.goneAt = now
-			}
-			if present {
-				i.startedAt, i.build = startedAt, build
-			}
-			if !ready {
-				i.down = max(i.down, revision)
-			}
-			named[i.it] = true
-			r.meet(build)
-			r.gateway.ToldInstance(i.it, ready, present, build, zone, model, cell, size, startedAt, now)
-		})
-		if whole {
-			r.gateway.ToldOnly(named, now)
-			for _, i := range r.instances {
-				if !named[i.it] && i.goneAt == 0 {
-					i.goneAt, i.down = now, max(i.down, revision)
-					r.outside.Drop(i.address)
-				}
-			}
-		}
-		r.gateway.ToldListEnd(cached, now)
-		if !cached {
-			r.confirmed(now)
-		}
-		r.withhold(now)
-		r.forget(now)
-		done <- result{revision, nil}
-	}
-	got := <-done
-	return got.revision, got.err
-}
-
-// confirmed notes that discovery has confirmed the list, and logs the end of a time in which it did not.
-func (r *Router) confirmed(now int64) {
-	if r.failures > 0 {
-		slog.Info("the list is confirmed again", "revision", r.revision, "failures", r.failures,
-			"unconfirmed", r.unconfirmed(now))
-	}
-	r.confirmedAt, r.failures = now, 0
-}
-
-// unconfirmed is how long ago discovery last confirmed the list; 0 if it never has.
-func (r *Router) unconfirmed(now int64) time.Duration {
-	if r.confirmedAt == 0 {
-		return 0
-	}
-	return time.Duration(now - r.confirmedAt).Round(time.Millisecond)
-}
-
 // meet tells of builds as they are first listed.
 func (r *Router) meet(build int) {
 	if r.outside.Build == nil || slices.Contains(r.builds, build) {
@@ -307,16 +214,6 @@
 // Busy tells whether commands wait for room. It may be asked by anyone.
 func (r *Router) Busy() bool { return r.waiting.Load() > 0 }
 
-// ListFailed tells that the list could not be asked, or that its watch broke.
-func (r *Router) ListFailed(err error) {
-	r.events <- func(now int64) {
-		r.failures++
-		slog.Warn("the watch of the list ended", "cause", err, "revision", r.revision, "failures", r.failures,
-			"unconfirmed", r.unconfirmed(now))
-		r.gateway.ToldListFailed(now)
-	}
-}
-
 // News tells where the newest build stands.
 func (r *Router) News(build, stage int, phase choice.Phase, most float64, since int64) {
 	r.events <- func(now int64) {
@@ -342,6 +239,9 @@
 // Heard tells a datagram of another gateway.
 func (r *Router) Heard(from int, text []byte) {
 	r.events <- func(now int64) {
+		if r.list.exchange != nil && r.heardOfList(from, text, now) {
+			return
+		}
 		if t := protocol.UnpackTotals(text, from, r.named); t != nil {
 			r.gateway.ToldTotals(t, now)
 		} else if f := protocol.UnpackFinding(text, from, r.named); f != nil {
@@ -359,8 +259,8 @@
 		c.out[d.Delivery] = f
 		heap.Push(&r.due, f)
 		to := r.known[d.To]
-		r.trace.sent(c.id, to, r.revision, d.Delivery.Number)
-		f.on = r.outside.Send(to.address, time.Now().Add(time.Duration(d.For)), c.words,
+		r.trace.sent(c.id, to, r.list.revision, d.Delivery.Number)
+		f.on = r.outside.Send(to.listed.Address, time.Now().Add(time.Duration(d.For)), c.words,
 			func(how choice.Outcome, value, load []byte) {
 				r.events <- func(now int64) { r.ended(f, how, value, load, now) }
 			})
@@ -420,7 +320,7 @@
 func (r *Router) withhold(now int64) {
 	var late []*flight
 	for _, f := range r.due {
-		if !r.gateway.Stands(f.dl) && f.on.Withhold() {
+		if !r.gateway.Stands(f.dl, now) && f.on.Withhold() {
 			late = append(late, f)
 		}
 	}
@@ -484,29 +384,11 @@
 	}
 }
 
-// instance finds what an id names.
-func (r *Router) instance(id string) *instance {
-	i := r.instances[id]
-	if i == nil {
-		h := fnv.New32a()
-		h.Write([]byte(id))
-		i = &instance{it: &choice.Instance{}, id: id, number: h.Sum32()}
-		r.instances[id], r.known[i.it], r.numbered[i.number] = i, i, i.it
-	}
-	return i
-}
-
-// forget lets go of instances that the list has not named for long.
-func (r *Router) forget(now int64) {
-	for id, i := range r.instances {
-		if i.goneAt > 0 && now-i.goneAt > int64(goneFor) {
-			delete(r.instances, id)
-			delete(r.known, i.it)
-			if r.numbered[i.number] == i.it {
-				delete(r.numbered, i.number)
-			}
-		}
-	}
+// numberOf numbers an id in messages between gateways.
+func numberOf(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return h.Sum32()
 }
 
 func (r *Router) number(it *choice.Instance) uint32 {
--- a/internal/routing/trace.go
+++ b/internal/routing/trace.go
@@ -24,7 +24,7 @@
 
 func (t trace) sent(id string, to *instance, revision int64, number int) {
 	if t.on {
-		slog.Debug("a delivery is sent", "id", id, "instance", to.id, "number", number, "revision", revision)
+		slog.Debug("a delivery is sent", "id", id, "instance", to.listed.ID, "number", number, "revision", revision)
 	}
 }
 
@@ -32,7 +32,7 @@
 	if t.on {
 		name := ""
 		if to != nil { // it may have been forgotten meanwhile
-			name = to.id
+			name = to.listed.ID
 		}
 		slog.Debug("a delivery has ended", "id", id, "instance", name, "outcome", how, "took", time.Duration(took))
 	}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -21,7 +21,7 @@
 	text []byte
 }
 
-const postsMost = 64 // datagrams that wait to be sent; a further one is lost, as any may be
+const postsMost = 1024 // datagrams that wait to be sent; a further one is lost, as any may be
 
 // NewPeers listens for datagrams at an address. The gateways' addresses stand in the order of their numbers;
 // the one of all of them may be empty.
