--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -39,7 +39,7 @@
 	waitLot        = 3
 	graceAfterWait = 1200 * time.Millisecond // after its wait an answer may still come: discovery takes calls in turn
 	moreWithin     = 500 * time.Millisecond  // after any of its bytes an answer goes on, or never does
-	keepAgain      = time.Second             // after a failed call, and up to half as much less or more by lot
+	keepAgain      = 400 * time.Millisecond  // after a failed call, and up to half as much less or more by lot: what a local agent has counts as told at once
 )
 
 // NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
