--- a/cmd/laurelring/fleet_test.go
+++ b/cmd/laurelring/fleet_test.go
@@ -363,6 +363,17 @@
 	return float64(served) / float64(max(sent, 1)), sent
 }
 
+// showLogs prints the first gateways' logs if the test has failed.
+func (f *gatewayFleet) showLogs(many int) {
+	if !f.t.Failed() {
+		return
+	}
+	for _, path := range f.logs[:many] {
+		text, _ := os.ReadFile(path)
+		f.t.Logf("%s", strings.TrimSpace(string(text)))
+	}
+}
+
 // waitServing waits until clients are served at all gateways.
 func (f *gatewayFleet) waitServing() {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
