--- a/cmd/laurelring/outage_test.go
+++ b/cmd/laurelring/outage_test.go
@@ -11,6 +11,7 @@
 const (
 	toldWithin = 6 * time.Second // a change counts as told so long after discovery had it and could be reached
 	drainGrace = time.Second
+	capGrace   = 200 * time.Millisecond // a lower cap binds so long after it was told
 )
 
 // turnover is a fleet of instances of which all drain while as many others come.
@@ -143,3 +144,74 @@
 	}
 	fleet.showLogs(1)
 }
+
+// Found beside issue 22: discovery writes half of an answer and stops, then refuses calls for a while. What it wrote counts
+// as told, so that after the grace nothing goes to an instance that it may have named, until it has answered.
+func TestNothingGoesToDrainedAfterHalfAnAnswer(t *testing.T) {
+	t.Parallel()
+	turnover := newTurnover(t, 6)
+	discovery, address := newDiscoveryService(t, 0, turnover.before)
+	fleet := startFleet(t, 1, address, turnover.before, false)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	fleet.run(ctx)
+	fleet.waitServing()
+	time.Sleep(time.Second)
+	discovery.setHalves(true)
+	turnover.begin(discovery)
+	told := time.Now().Add(100 * time.Millisecond) // by then it is written
+	time.Sleep(3 * time.Second)
+	if late := arrivedAfter(turnover.drained, told.Add(drainGrace)); late > 0 {
+		t.Errorf("%d deliveries to draining instances after half an answer", late)
+	}
+	discovery.setHalves(false)
+	answers := time.Now()
+	time.Sleep(4 * time.Second)
+	if arrivedAfter(turnover.fresh, answers) == 0 {
+		t.Error("nothing is served once discovery answers")
+	}
+	fleet.showLogs(1)
+}
+
+// Found beside issue 22: a gateway stands still while a build on trial is taken off. What the platform wrote meanwhile
+// counts as told: the requests that waited do not go to that build.
+func TestNothingGoesToATakenOffBuildAfterAStandstill(t *testing.T) {
+	t.Parallel()
+	var earlier, trial []*instanceServer
+	var entries []listEntry
+	for i := range 4 {
+		old, fresh := newInstanceServer(t, fmt.Sprintf("s-old-%d", i)), newInstanceServer(t, fmt.Sprintf("s-new-%d", i))
+		fresh.entry.Build = 2
+		earlier, trial = append(earlier, old), append(trial, fresh)
+		entries = append(entries, old.entry, fresh.entry)
+	}
+	_, address := newDiscoveryService(t, 0, entries)
+	fleet := startFleet(t, 1, address, entries, false)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	fleet.run(ctx)
+	for range 40 { // one of many requests that wait is read before the news
+		go fleet.client(ctx, 0)
+	}
+	fleet.waitServing()
+	fleet.platform.set(`{"release":2,"tranche":2,"mode":"testing","exposure":1,"old_ms":0}`)
+	time.Sleep(2 * time.Second)
+	if arrivedAfter(trial, time.Time{}) == 0 {
+		t.Fatal("nothing went to the build on trial")
+	}
+	fleet.processes[0].Process.Signal(syscall.SIGSTOP)
+	time.Sleep(300 * time.Millisecond) // requests come first
+	fleet.platform.set(`{"release":2,"tranche":2,"mode":"recalled","exposure":0,"old_ms":0}`)
+	told := time.Now().Add(100 * time.Millisecond) // by then it is written
+	time.Sleep(1500 * time.Millisecond)
+	fleet.processes[0].Process.Signal(syscall.SIGCONT)
+	continued := time.Now()
+	time.Sleep(time.Second)
+	if late := arrivedAfter(trial, told.Add(capGrace)); late > 0 {
+		t.Errorf("%d deliveries to a build that was taken off", late)
+	}
+	if arrivedAfter(earlier, continued) == 0 {
+		t.Error("nothing is served after the standstill")
+	}
+	fleet.showLogs(1)
+}
