--- a/choice/choice.go
+++ b/choice/choice.go
@@ -260,7 +260,7 @@
 
 // allowed checks the rules for one delivery, each on this gateway's own knowledge.
 func (g *Gateway) allowed(cmd *Command, to *Instance, now int64) bool {
-	if cmd.Ended || now >= cmd.lastAnswer || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
+	if cmd.Ended || now >= cmd.lastAnswer || now < g.catchUpUntil || len(cmd.Deliveries) >= g.limits.deliveries || cmd.Open > 0 {
 		return false
 	}
 	return to.listed && to.ready && g.trusted(to, now) && g.taken(to.build) && g.harmless(cmd, to, now) && g.exposed(cmd, to, now) && g.coldRoom(to, now)
--- a/choice/state.go
+++ b/choice/state.go
@@ -274,10 +274,12 @@
 	unmet       float64      // smoothed share of our deliveries that found no connection
 	vouched     map[int]bool // builds that are what was signed; nil where any is taken
 	limits      limits
-	exposure    exposure
-	cold        cold
-	list        list
-	judge       judge
+	// No delivery goes out until then: the gateway has stood still.
+	catchUpUntil int64
+	exposure     exposure
+	cold         cold
+	list         list
+	judge        judge
 }
 
 // way is how our deliveries to a zone fare.
--- a/choice/trust.go
+++ b/choice/trust.go
@@ -17,9 +17,11 @@
 	drainSettles = s
 	// listLease is how long the list, or an instance's own proof, stands from the moment for which it was confirmed.
 	listLease = LearnWithin - drainSettles/2
-	// brokenAnswer is how long the list stands after an answer of discovery that did not come whole: what it brought
-	// counts as told when it was written.
-	brokenAnswer = s / 2
+	// begunAnswer is how long the list stands after an answer of discovery has begun, until it is there whole: what it
+	// brings counts as told when it was written. With the time for which a gateway may be held up it is under the grace
+	// of a drain. brokenAnswer is the same from the end of one that never came whole.
+	begunAnswer  = 700 * ms
+	brokenAnswer = 200 * ms
 	// firstLease is how long the list that a gateway starts with stands: it may be old, and its changes may count as
 	// told from the first moment on.
 	firstLease = s
@@ -27,6 +29,15 @@
 	movedLease = 4 * s
 )
 
+const (
+	// heldUpMost is how long a gateway may be held up without any harm: deadlines, windows and graces allow for it.
+	heldUpMost = 150 * ms
+	// heldUpLong is how long it may be and still take in what was told meanwhile within the grace of a drain.
+	heldUpLong = 600 * ms
+	// catchUp is how long no delivery goes out after that, so that what was told meanwhile is read first.
+	catchUp = 30 * ms
+)
+
 // lease is how long the list held is trusted.
 type lease struct {
 	on        bool
@@ -49,12 +60,27 @@
 	}
 }
 
+// ToldListBegun tells that an answer of discovery has begun to come.
+func (g *Gateway) ToldListBegun(now int64) { g.list.lease.suspect(now, now+begunAnswer) }
+
 // ToldListBroken tells that an answer of discovery began and did not come whole.
 func (g *Gateway) ToldListBroken(now int64) { g.list.lease.suspect(now, now+brokenAnswer) }
 
 // ToldListMoved tells that discovery is asked at another address from now on.
 func (g *Gateway) ToldListMoved(now int64) { g.list.lease.suspect(now, now+movedLease) }
 
+// ToldHeldUp tells that this gateway has stood still for a while. What it was told meanwhile waits to be read: drains,
+// a lower cap. It guards against deliveries by what was known before. After long ones the list has to be confirmed, as
+// the call for it may have been given up with its answer unread.
+func (g *Gateway) ToldHeldUp(span, now int64) {
+	if span > heldUpMost {
+		g.catchUpUntil = now + catchUp
+	}
+	if span > heldUpLong {
+		g.list.lease.suspect(now, now)
+	}
+}
+
 // suspect ends the lease early. What instances prove until shortly after that says nothing any more.
 func (l *lease) suspect(now, until int64) {
 	l.until = min(l.until, until)
--- a/cmd/laurelring/main.go
+++ b/cmd/laurelring/main.go
@@ -161,7 +161,7 @@
 	if err := protocol.News(news, r.News); err != nil {
 		return fmt.Errorf(`field "pipeline.news": %w`, err)
 	}
-	discovery = transport.NewDiscovery(discoveryAt, askWithin, startList.Revision, func(text []byte, anew bool) (int64, error) {
+	discovery = transport.NewDiscovery(discoveryAt, askWithin, startList.Revision, r.ListBegun, func(text []byte, anew bool) (int64, error) {
 		list, err := protocol.ReadList(text, zones, models)
 		if err != nil {
 			return 0, err
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -23,11 +23,11 @@
 	s  = int64(1e9)
 
 	queryPeers = 3        // peers that are asked at once
-	queryFirst = 100 * ms // by lot: how soon after a failure the first query goes out
-	queryEvery = 500 * ms // and up to as much more by lot
+	queryFirst = 100 * ms // at random: how soon after a failure the first query goes out
+	queryEvery = 500 * ms // and up to as much more at random
 	// A watch is answered at the latest this long after the last answer. One that is later may have fallen silent.
 	freshFor = 2800 * ms
-	// A reply goes out this late, by lot, so that others' replies are heard before.
+	// A reply goes out this late, at random, so that others' replies are heard before.
 	replyWithin = 100 * ms
 	// askersMany is how many gateways must have queried within askersSpan for a reply to go to all. One alone hears
 	// only a few of a whole fleet's queries.
@@ -135,10 +135,11 @@
 	dueAt   int64
 }
 
-// confirmation is a reply that was heard: a revision, and the moment for which it was confirmed.
+// confirmation is a reply that was heard, or sent to all.
 type confirmation struct {
-	revision, at, heardAt int64
-	whole                 bool // it had the ready incarnations
+	revision int64
+	heardAt  int64
+	whole    bool // it had the ready incarnations
 }
 
 // serves tells whether a reply that was heard makes another to this asker needless. Where the ready incarnations are
@@ -179,7 +180,7 @@
 // Unconfirmed tells that no watch of discovery stands: a call has failed, or discovery has moved.
 func (e *Exchange) Unconfirmed(now int64) {
 	if e.following || e.queryAt == 0 {
-		e.queryAt = now + e.lot(queryFirst)
+		e.queryAt = now + e.jitter(queryFirst)
 	}
 	e.following = false
 }
@@ -199,7 +200,7 @@
 	if e.manyAsk(from, now) {
 		e.replyToAll(whole, now)
 	} else if len(e.single) < askersMany {
-		e.single = append(e.single, request{to: from, whole: whole, askedAt: now, dueAt: now + e.lot(replyWithin)})
+		e.single = append(e.single, request{to: from, whole: whole, askedAt: now, dueAt: now + e.jitter(replyWithin)})
 	}
 }
 
@@ -216,7 +217,7 @@
 // replyToAll has a reply go to all gateways, for this query as well.
 func (e *Exchange) replyToAll(whole bool, now int64) {
 	if e.all == nil {
-		e.all = &request{to: ToAll, dueAt: now + e.lot(replyWithin)}
+		e.all = &request{to: ToAll, dueAt: now + e.jitter(replyWithin)}
 	}
 	if whole || !e.all.whole {
 		e.all.whole, e.all.askedAt = whole, now
@@ -224,7 +225,7 @@
 }
 
 // Crowd estimates which share of the gateways goes without discovery at present, from 0 to 1: each of them queries a few
-// peers drawn by lot, again and again, so that the queries heard tell how many there are.
+// peers drawn at random, again and again, so that the queries heard tell how many there are.
 func (e *Exchange) Crowd(now int64) float64 {
 	if e.peers < 2 {
 		return 0
@@ -240,8 +241,8 @@
 // Told takes a peer's view in. It gives what was learned, or nil.
 func (e *Exchange) Told(from int, v View, now int64) *Learned {
 	at := now - max(v.Age, 0)
-	if v.Revision >= e.heard.revision && at > e.heard.at {
-		e.heard = confirmation{v.Revision, at, now, v.Parts > 0}
+	if v.Revision >= e.held {
+		e.heard = confirmation{v.Revision, now, v.Parts > 0}
 	}
 	if v.Revision < e.known || v.Revision == e.known && at <= e.currentAt {
 		return nil
@@ -253,7 +254,7 @@
 	ready := e.parts.add(from, v)
 	if ready == nil { // parts are missing, or it was meant for others: its sender is asked
 		if e.source == none {
-			e.queryAt = min(e.queryAt, now+replyWithin+e.lot(queryFirst))
+			e.queryAt = min(e.queryAt, now+replyWithin+e.jitter(queryFirst))
 		}
 		e.source = from
 		return nil
@@ -267,9 +268,9 @@
 	due, wait := Due{}, 10*s
 	if !e.fresh(now) {
 		if now >= e.queryAt {
-			due.Queried = e.some()
+			due.Queried = e.drawPeers()
 			due.Query = Query{Revision: e.known, Age: now - e.currentAt}
-			e.queryAt = now + queryEvery + e.lot(queryEvery)
+			e.queryAt = now + queryEvery + e.jitter(queryEvery)
 		}
 		wait = e.queryAt - now
 	} else {
@@ -291,7 +292,7 @@
 	if e.all != nil && now >= e.all.dueAt {
 		if reply, ok := e.reply(e.all, now); ok {
 			due = append(due, reply)
-			e.heard = confirmation{e.held, e.confirmedAt, now, reply.Whole}
+			e.heard = confirmation{e.held, now, reply.Whole}
 		}
 		e.all = nil
 	}
@@ -315,8 +316,8 @@
 	return Reply{To: one.to, Revision: e.held, Age: now - e.confirmedAt, Whole: one.whole}, true
 }
 
-// some draws a few other gateways, beside the one that is known to hold a newer revision.
-func (e *Exchange) some() []int {
+// drawPeers draws a few other gateways, beside the one that is known to hold a newer revision.
+func (e *Exchange) drawPeers() []int {
 	var drawn []int
 	if e.source != none {
 		drawn = append(drawn, e.source)
@@ -332,4 +333,4 @@
 	return drawn
 }
 
-func (e *Exchange) lot(below int64) int64 { return e.draw(below/ms) * ms }
+func (e *Exchange) jitter(below int64) int64 { return e.draw(below/ms) * ms }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -59,7 +59,8 @@
 		return protocol.ErrOlder
 	}
 	r.list.revision = list.Revision
-	counted := r.caughtUp(anew)
+	current := cached || r.list.exchange == nil || r.list.exchange.Confirmed(list.Revision, anew, now)
+	caughtUp := current && r.dropView(anew)
 	named := map[*choice.Instance]bool{}
 	for _, member := range list.Members {
 		i := r.instance(member.ID)
@@ -69,12 +70,12 @@
 	if list.Whole {
 		r.takeOnly(named, now)
 	}
-	if counted {
+	if caughtUp {
 		r.recall(now)
 	}
 	r.gateway.ToldListEnd(cached, now)
 	if !cached {
-		r.confirmed(anew, now)
+		r.confirmed(current, now)
 	}
 	r.withhold(now)
 	r.forget(now)
@@ -123,10 +124,10 @@
 	}
 }
 
-// caughtUp lets go of a peer's view that the list held is as new as, or that discovery, which counts anew, knows nothing
-// of; it tells whether there was one.
-func (r *Router) caughtUp(anew bool) bool {
-	if r.list.ahead == nil || r.list.revision < r.list.ahead.revision && !anew {
+// dropView lets go of a peer's view, as the list held is current, and tells whether there was one. What it lacked stays
+// so where discovery counts anew.
+func (r *Router) dropView(anew bool) bool {
+	if r.list.ahead == nil {
 		return false
 	}
 	if anew && r.list.revision < r.list.ahead.revision {
@@ -156,15 +157,16 @@
 	}
 }
 
-// confirmed notes that discovery has answered, and logs the end of a time in which it did not.
-func (r *Router) confirmed(anew bool, now int64) {
+// confirmed notes that discovery has answered, and logs the end of a time in which it did not. The list is current unless
+// a peer's view is newer.
+func (r *Router) confirmed(current bool, now int64) {
 	l := &r.list
 	if l.failures > 0 {
 		slog.Info("the list is confirmed again", "revision", l.revision, "failures", l.failures,
 			"unconfirmed", r.unconfirmed(now))
 	}
 	l.confirmedAt, l.failures = now, 0
-	if l.exchange == nil || l.exchange.Confirmed(l.revision, anew, now) {
+	if current {
 		r.gateway.ToldListConfirmed(now)
 	}
 }
@@ -196,6 +198,11 @@
 	}
 }
 
+// ListBegun tells that an answer of discovery has begun to come.
+func (r *Router) ListBegun() {
+	r.events <- func(now int64) { r.gateway.ToldListBegun(now) }
+}
+
 // ListMoved tells that discovery is asked at another address from now on.
 func (r *Router) ListMoved() {
 	r.events <- func(now int64) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -45,6 +45,9 @@
 	eventsMost = 1024             // that wait; whoever brings a further one waits
 	goneFor    = 60 * time.Second // an instance that the list no longer names is remembered so long
 	buildsMost = 64               // that are remembered
+
+	heldUpTold   = int64(100 * time.Millisecond) // later than this the module is told how late a turn comes
+	heldUpLogged = int64(500 * time.Millisecond)
 )
 
 // Router keeps the commands in hand and the timers.
@@ -68,6 +71,7 @@
 	stands    [3]int       // the build, stage and phase last told
 	due       timers
 	order     int
+	turnDue   int64 // when the next turn is to come at the latest; 0 before the first
 	trace     trace
 	list      lists
 }
@@ -108,12 +112,30 @@
 	for {
 		select {
 		case event := <-r.events:
+			r.noticeHeldUp(r.clock())
 			event(r.clock())
 		case <-alarm.C:
+			r.noticeHeldUp(r.clock())
 		case <-ctx.Done():
 			return
 		}
-		alarm.Reset(time.Duration(r.turn()))
+		wait := r.turn()
+		r.turnDue = r.clock() + wait
+		alarm.Reset(time.Duration(wait))
+	}
+}
+
+// noticeHeldUp tells the module how much later than it was due this turn comes: the process stood still meanwhile, or
+// other work kept the processor.
+func (r *Router) noticeHeldUp(now int64) {
+	if late := now - r.turnDue; r.turnDue > 0 && late > heldUpTold {
+		if late > heldUpLogged {
+			slog.Warn("the gateway stood still", "for", time.Duration(late).Round(time.Millisecond))
+		}
+		r.gateway.ToldHeldUp(late, now)
+		if r.list.exchange != nil && !r.gateway.ListTrusted(now) {
+			r.list.exchange.Unconfirmed(now)
+		}
 	}
 }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -19,6 +19,7 @@
 type Discovery struct {
 	client   *http.Client
 	wait     time.Duration
+	begun    func()
 	told     func(text []byte, anew bool) (revision int64, err error)
 	failed   func(error)
 	chance   *chance.Chance
@@ -43,11 +44,11 @@
 )
 
 // NewDiscovery takes the address, how long the list may go unasked, the revision that is known, and whom
-// to tell of an answer, which gives its revision, or of a failure.
-func NewDiscovery(address string, wait time.Duration, revision int64,
+// to tell of a list that begins to come, of an answer, which gives its revision, or of a failure.
+func NewDiscovery(address string, wait time.Duration, revision int64, begun func(),
 	told func(text []byte, anew bool) (revision int64, err error), failed func(error), chance *chance.Chance) *Discovery {
 	wait = min(wait, waitMost)
-	return &Discovery{address: address, wait: wait, told: told, failed: failed, revision: revision, leave: func() {},
+	return &Discovery{address: address, wait: wait, begun: begun, told: told, failed: failed, revision: revision, leave: func() {},
 		chance: chance,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
 			Timeout: wait + graceAfterWait}}
@@ -149,6 +150,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answered %s", answer.Status)
 	}
+	d.begun()
 	text, err := io.ReadAll(io.LimitReader(&going{answer.Body, stalled}, protocol.ListMost))
 	if err != nil {
 		return true, err
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -55,8 +55,13 @@
 	idleAt  time.Time // since when it has stood idle
 }
 
+// heldUp is how much longer than a connection may take to come up a delivery may wait for its first byte to go out:
+// what it was decided by is then of another time, as where the process stood still meanwhile.
+const heldUp = 250 * time.Millisecond
+
 // Sending is a delivery on its way. It ends once, by what comes back or by GiveUp.
 type Sending struct {
+	since time.Time
 	until time.Time
 	words func(within int64) []byte
 	ended func(how choice.Outcome, value, load []byte)
@@ -71,7 +76,7 @@
 // ended, on another goroutine, unless it was given up before.
 func (in *Instances) Send(address string, until time.Time, words func(within int64) []byte,
 	ended func(how choice.Outcome, value, load []byte)) *Sending {
-	s := &Sending{until: until, words: words, ended: ended}
+	s := newSending(until, words, ended)
 	if l := in.takeIdle(address); l != nil {
 		go l.write(s, true)
 	} else {
@@ -80,6 +85,12 @@
 	return s
 }
 
+// newSending is a delivery that is decided now.
+func newSending(until time.Time, words func(within int64) []byte,
+	ended func(how choice.Outcome, value, load []byte)) *Sending {
+	return &Sending{since: time.Now(), until: until, words: words, ended: ended}
+}
+
 // GiveUp ends a delivery without an outcome and closes its connection before it returns: what is sent
 // elsewhere after it is no second copy. It tells whether the delivery may have reached the instance, and
 // whether it had ended before: then its outcome is on its way. The connection of one that had not begun serves
@@ -168,7 +179,7 @@
 		return
 	}
 	within := time.Until(s.until)
-	if within <= 0 {
+	if within <= 0 || time.Since(s.since) > l.in.connectWithin+heldUp {
 		s.end(choice.Unsent, nil, nil)
 	}
 	if !s.begin(l) {
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"laurelring/internal/protocol"
 )
@@ -92,6 +93,7 @@
 			return
 		} else if err != nil {
 			complaints.Complain("a datagram could not be read", "cause", err)
+			time.Sleep(acceptAgain) // the machine may be short of something for a while
 			continue
 		}
 		number, ok := numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
