--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,16 +55,6 @@
 	meanStart   = 0.25      // of the service target: taken for a mean time before there is one
 	cellKinds   = 3         // counters in a cell: tries, failures, half deliveries ended at warm machines
 
-	// The list.
-	askAlone = 10 * ms  // the first call of a gateway alone comes within this,
-	askEach  = 100 * ms // those of a fleet spread over so long for each further gateway,
-	askFirst = 2 * s    // but no longer than this
-	askAgain = 200 * ms // after a failed call, doubled at each further one, and as much more by lot
-	// A fleet whose calls fail must ask for less than discovery can answer, or its queue never clears: one call of each
-	// gateway in eight seconds is the least that it takes. A pause is one and a half times this in the mean.
-	askMost  = 6400 * ms
-	askCrowd = 5600 * ms // the same at once where all gateways are known to ask, less where fewer do
-
 	// Health.
 	patience     = 6.0      // a delivery is overdue after this many mean times
 	silentLeast  = 3        // deliveries to a machine within a trial span that make its silence tell
@@ -662,20 +652,6 @@
 	}
 }
 
-// ToldListFailed: a call to the list failed or its watch broke; it is asked again, later each time. All watches
-// break at once when the list goes down: a lot as long as the pause itself keeps the fleet from calling in step.
-func (g *Gateway) ToldListFailed(now int64) {
-	if g.list.mustAsk {
-		g.list.tries++
-		g.list.due = true
-		pause := max(min(askMost, askAgain<<min(g.list.tries, 10)), int64(g.list.crowd*float64(askCrowd)))
-		g.list.askAt = now + pause + int64(g.draw(int(pause/ms)))*ms
-	}
-}
-
-// ToldListCrowd tells which share of the gateways, as far as is known, asks for the list without an answer.
-func (g *Gateway) ToldListCrowd(share float64) { g.list.crowd = share }
-
 // ToldVote tells the answer to a vote. One that was not counted is cast again, soon but not at once: the
 // platform's calls are shared by all gateways. One that may have counted is repeated too.
 func (g *Gateway) ToldVote(how Outcome, now int64) {
@@ -912,9 +888,7 @@
 	if g.startedAt == 0 {
 		g.startedAt = now - ms
 		g.judge.totalsAt = now + int64(g.draw(int(poolEvery/ms)))*ms // gateways take turns at the voters
-		if g.list.mustAsk {
-			g.list.askAt = now + int64(g.draw(int(min(askFirst, askAlone+int64(g.peers-1)*askEach)/ms)))*ms
-		}
+		g.firstCall(now)
 	}
 	for i, cmd := range g.held {
 		// The head of the queue, and whoever's time is about to run out.
@@ -925,13 +899,7 @@
 	if len(g.held) > 0 {
 		until = now + 2*g.tick
 	}
-	if g.list.due {
-		if now >= g.list.askAt {
-			g.list.due, due.Watch = false, true
-		} else {
-			until = min(until, g.list.askAt)
-		}
-	}
+	until = g.callDiscovery(now, &due, until)
 	for _, it := range g.instances {
 		until = min(until, g.rescue(it, now, &due))
 	}
--- a/choice/parts.go
+++ b/choice/parts.go
@@ -30,9 +30,6 @@
 	g.cold.from, g.cold.warm, g.cold.multiple, g.cold.span = from, warm, multiple, span
 }
 
-// Follow tells whether the list must be asked for its changes.
-func (g *Gateway) Follow(mustAsk bool) { g.list.mustAsk, g.list.due = mustAsk, mustAsk }
-
 // Expose tells how deliveries to a build on trial are bounded.
 func (g *Gateway) Expose(window int64, allowance float64, byOp bool, closed int, oneWay bool,
 	caps []float64) {
@@ -194,7 +191,7 @@
 	}
 	g.list.power, g.list.places = max(g.list.power, power), max(g.list.places, places)
 	if !cached {
-		g.list.tries = 0
+		g.calls.failures = 0
 	}
 	g.regard(newest, now)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -279,6 +279,7 @@
 	exposure     exposure
 	cold         cold
 	list         list
+	calls        discoveryCalls
 	judge        judge
 }
 
@@ -330,14 +331,9 @@
 
 // list follows the list of instances.
 type list struct {
-	mustAsk bool
-	due     bool
-	askAt   int64
-	tries   int
-	lease   lease
-	crowd   float64 // the share of the gateways that goes without an answer, where it is known
-	power   float64 // the most that was ready at once, without what is on trial
-	places  int     // the same, in instances
+	lease  lease
+	power  float64 // the most that was ready at once, without what is on trial
+	places int     // the same, in instances
 }
 
 // ranks holds the sorted figures of one build's ready machines.
