--- a/choice/choice.go
+++ b/choice/choice.go
@@ -595,9 +595,6 @@
 	case Acked:
 		g.unmet *= 0.9
 		to.saw(1, 0, now)
-		if dl.build == to.build {
-			to.provedAt = max(to.provedAt, dl.sentAt)
-		}
 		to.acked.add(now, g.cold.span)
 		to.failing *= 0.85
 		if to.failing < failingAside { // a machine that fails most and answers some stays on probation
--- a/choice/state.go
+++ b/choice/state.go
@@ -235,7 +235,7 @@
 	busy       float64     // its own figure, where it reports one
 	toldAt     int64       // when that was told
 	heardAt    int64       // its last sign of life
-	provedAt   int64       // the latest sending of a command of ours that it served: it did not drain then
+	provedAt   int64       // the latest sending of a delivery by which it proved that it did not drain
 	strikes    int         // silent failures in a row
 	asideUntil int64
 	illUntil   int64   // the voters say to leave it alone until then
--- a/choice/trust.go
+++ b/choice/trust.go
@@ -42,6 +42,7 @@
 type lease struct {
 	on        bool
 	until     int64
+	currentAt int64 // the latest moment for which the list held was confirmed
 	suspectAt int64 // changes from before this moment count as told by then, unheard: older confirmations are void
 }
 
@@ -57,6 +58,16 @@
 	l := &g.list.lease
 	if at > l.suspectAt {
 		l.until = max(l.until, at+listLease)
+		l.currentAt = max(l.currentAt, at)
+	}
+}
+
+// ToldServed tells that an instance served a delivery on a connection that was opened at a moment: it did not drain when
+// that was sent. This proves something only on a connection that stood when the list was last confirmed: the id and the
+// address of an instance that has gone may have returned with another process, of which nobody has told.
+func (g *Gateway) ToldServed(dl *Delivery, openedAt int64) {
+	if dl.build == dl.To.build && openedAt <= g.list.lease.currentAt {
+		dl.To.provedAt = max(dl.To.provedAt, dl.sentAt)
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -28,6 +28,8 @@
 type Delivery interface {
 	GiveUp() (reached, ended bool)
 	Withhold() bool
+	// ConnectionAge is for how long the connection has stood that the delivery went out on.
+	ConnectionAge() time.Duration
 }
 
 // Outside is what the router has done by others. None of its calls waits.
@@ -313,6 +315,9 @@
 	if how == choice.Acked && value == nil {
 		how = choice.Errored // it answers something else
 	}
+	if how == choice.Acked {
+		r.gateway.ToldServed(f.dl, now-int64(f.on.ConnectionAge()))
+	}
 	settled := f.of.client == nil
 	r.trace.ended(f.of.id, r.known[f.dl.To], how, now-f.sentAt)
 	if how == choice.Acked && !settled {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -103,6 +103,8 @@
 	return s.reached, s.ended
 }
 
+func (s *sent) ConnectionAge() time.Duration { return time.Hour }
+
 func (s *sent) Withhold() bool {
 	if s.ended || s.over || s.reached {
 		return false
@@ -358,8 +360,10 @@
 // connecting is a delivery that waits for its connection.
 type connecting struct{ withheld bool }
 
-func (c *connecting) GiveUp() (bool, bool) { return false, false }
-func (c *connecting) Withhold() bool       { c.withheld = true; return true }
+func (c *connecting) GiveUp() (bool, bool)         { return false, false }
+func (c *connecting) ConnectionAge() time.Duration { return 0 }
+
+func (c *connecting) Withhold() bool { c.withheld = true; return true }
 
 // While deliveries wait for their connections: a client that leaves takes its own along; a drain sends the others
 // elsewhere; a cap that comes down to nothing takes the trial's back.
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -42,10 +42,11 @@
 
 // link is one connection to an instance. It ends in close, which alone gives its descriptor back.
 type link struct {
-	in      *Instances
-	address string
-	conn    *net.TCPConn
-	raw     syscall.RawConn
+	in       *Instances
+	address  string
+	openedAt time.Time
+	conn     *net.TCPConn
+	raw      syscall.RawConn
 
 	mu      sync.Mutex // held while bytes are read too: what came before a delivery began is none of its answer
 	work    *Sending
@@ -117,6 +118,16 @@
 	return true
 }
 
+// ConnectionAge is for how long the connection has stood that the delivery went out on; 0 before it did.
+func (s *Sending) ConnectionAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.on == nil {
+		return 0
+	}
+	return time.Since(s.on.openedAt)
+}
+
 // end tells the outcome, unless one was told or the delivery was given up.
 func (s *Sending) end(how choice.Outcome, value, load []byte) {
 	if s.settle() {
@@ -153,7 +164,7 @@
 		s.end(choice.Unconnected, nil, nil)
 		return
 	}
-	l := &link{in: in, address: address, conn: conn.(*net.TCPConn)}
+	l := &link{in: in, address: address, openedAt: time.Now(), conn: conn.(*net.TCPConn)}
 	if l.raw, err = l.conn.SyscallConn(); err != nil {
 		l.close(err.Error())
 		s.end(choice.Unconnected, nil, nil)
