--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -73,7 +73,8 @@
 	stands    [3]int       // the build, stage and phase last told
 	due       timers
 	order     int
-	turnDue   int64 // when the next turn is to come at the latest; 0 before the first
+	lookedAt  int64 // when the clock was last looked at; 0 where turns are not Run's
+	turnDue   int64 // when the next turn is to come at the latest
 	trace     trace
 	list      lists
 }
@@ -111,26 +112,35 @@
 	defer close(r.done)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
+	r.lookedAt = r.clock()
 	for {
 		select {
 		case event := <-r.events:
-			r.noticeHeldUp(r.clock())
-			event(r.clock())
+			event(r.look())
 		case <-alarm.C:
-			r.noticeHeldUp(r.clock())
 		case <-ctx.Done():
 			return
 		}
 		wait := r.turn()
-		r.turnDue = r.clock() + wait
+		r.turnDue = r.lookedAt + wait
 		alarm.Reset(time.Duration(wait))
 	}
 }
 
-// noticeHeldUp tells the module how much later than it was due this turn comes: the process stood still meanwhile, or
-// other work kept the processor.
-func (r *Router) noticeHeldUp(now int64) {
-	if late := now - r.turnDue; r.turnDue > 0 && late > heldUpTold {
+// look reads the clock, and notices if the process stood still since the last time, or other work kept the processor.
+// Every event is told with a look of its own: a standstill may come amid a turn as well as between two.
+func (r *Router) look() int64 {
+	now := r.clock()
+	if r.lookedAt > 0 {
+		r.noticeHeldUp(now, now-max(r.lookedAt, r.turnDue))
+		r.lookedAt = now
+	}
+	return now
+}
+
+// noticeHeldUp tells the module how much later than it was due the clock is looked at.
+func (r *Router) noticeHeldUp(now, late int64) {
+	if late > heldUpTold {
 		if late > heldUpLogged {
 			slog.Warn("the gateway stood still", "for", time.Duration(late).Round(time.Millisecond))
 		}
@@ -147,12 +157,12 @@
 	for more := true; more; {
 		select {
 		case event := <-r.events:
-			event(r.clock())
+			event(r.look())
 		default:
 			more = false
 		}
 	}
-	now := r.clock()
+	now := r.look()
 	r.expire(now)
 	wait := r.chores(now)
 	if r.list.exchange != nil {
--- a/internal/transport/instances.go
+++ b/internal/transport/instances.go
@@ -190,6 +190,9 @@
 		return
 	}
 	within := time.Until(s.until)
+	bytes := s.words(int64(within))
+	l.conn.SetReadDeadline(time.Time{})
+	// Nothing but the writing itself comes after this look at the time: the process may stand still at any point.
 	if within <= 0 || time.Since(s.since) > l.in.connectWithin+heldUp {
 		s.end(choice.Unsent, nil, nil)
 	}
@@ -197,8 +200,6 @@
 		l.spare()
 		return
 	}
-	l.conn.SetReadDeadline(time.Time{})
-	bytes := s.words(int64(within))
 	n, err := l.conn.Write(bytes)
 	l.mu.Lock()
 	l.writing = false
