--- a/choice/trust.go
+++ b/choice/trust.go
@@ -46,8 +46,8 @@
 	suspectAt int64 // changes from before this moment count as told by then, unheard: older confirmations are void
 }
 
-// LeaseList has the list trusted for no longer than a lease. The first one is short and begins now. Without it the list is trusted for good,
-// as where discovery tells each change unasked and says when it cannot.
+// LeaseList has the list trusted for no longer than a lease. The first one is short and begins now. Without it the list
+// is trusted for good, as where discovery tells each change unasked and says when it cannot.
 func (g *Gateway) LeaseList(now int64) {
 	g.list.lease = lease{on: true, until: now + firstLease}
 }
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -174,9 +174,6 @@
 	return true
 }
 
-// Known is the revision of which all drains and removals are known.
-func (e *Exchange) Known() int64 { return e.known }
-
 // Unconfirmed tells that no watch of discovery stands: a call has failed, or discovery has moved.
 func (e *Exchange) Unconfirmed(now int64) {
 	if e.following || e.queryAt == 0 {
