--- a/internal/routing/gossip_test.go
+++ b/internal/routing/gossip_test.go
@@ -97,6 +97,25 @@
 	expect("the same after 6.5 s: the view is given up", "a b e")
 }
 
+// A single view of a peer whose revision is far ahead, faulty or from before discovery counted anew, kept all endpoints
+// that it lacks from traffic until they restart: discovery answered with a complete list that names them as ready, and the
+// view's revision stayed the one by which they had left. Found by TestDatagramHistories, seed 1: no endpoint ready, the
+// lease valid, every request queued until its time ran out. A view stands for 6 s at most without discovery.
+func TestPeerViewOfFarRevisionIsGivenUp(t *testing.T) {
+	env := newGossipFixture(t)
+	env.receiveMembers(10, false, true, memberJSON("a", "up", 0), memberJSON("b", "up", 0))
+	env.receiveView(1<<40, nil)
+	env.receiveMembers(10, true, true, memberJSON("a", "up", 0), memberJSON("b", "up", 0))
+	if got := env.readyEndpoints(); got != "" {
+		t.Errorf("right after the view %q is ready, want none", got)
+	}
+	env.now += 6500 * ms
+	env.receiveMembers(10, false, false)
+	if got := env.readyEndpoints(); got != "a b" {
+		t.Errorf("6.5 s after the view %q is ready, want both", got)
+	}
+}
+
 // The lease on a list that discovery does not confirm expires. A peer's view renews it, and so does a peer's confirmation
 // of the revision known, but of no other.
 func TestPeersRenewEndpointListLease(t *testing.T) {
