--- a/decision/evidencereport.go
+++ b/decision/evidencereport.go
@@ -96,7 +96,8 @@
 	lb.recordObservations(report.Observations, now)
 	current := &rollout.Report{CountedAt: report.CountedAt, Build: report.Build, Counters: counters}
 	previous, accepted := peers.reports.Accept(report.Sender, current)
-	if accepted && report.Build == lb.rollout.build {
+	// Build 0 stands for no build under judgement: a report that names it is of none, and there are no totals to reconcile.
+	if accepted && lb.rollout.judging() && report.Build == lb.rollout.build {
 		lb.reconcileTotals(previous, current)
 	}
 }
