--- a/decision/gossip/exchange.go
+++ b/decision/gossip/exchange.go
@@ -17,9 +17,9 @@
 	// confirmationTTL is how long an answer of discovery counts as recent. A watch is answered at the latest that long
 	// after its last answer; one that is later may have fallen silent.
 	confirmationTTL = 2800 * time.Millisecond
-	// newerViewTTL is how long a peer's newer view stands without discovery catching up: it may count from an older
+	// NewerViewTTL is how long a peer's newer view stands without discovery catching up: it may count from an older
 	// revision again.
-	newerViewTTL = 6 * time.Second
+	NewerViewTTL = 6 * time.Second
 	// initialAge is what the list that a gateway starts with is taken to be old.
 	initialAge = 3600 * time.Second
 	// queryDecay is the time constant over which received queries are counted.
@@ -75,7 +75,7 @@
 // revision, unless discovery counts from an older revision again.
 func (e *Exchange) DiscoveryConfirmed(revision int64, full bool, now monotonic.Time) bool {
 	e.watchEstablished, e.confirmedAt, e.heldRevision = true, now, revision
-	if revision < e.knownRevision && !full && now-e.knownCurrentAt < newerViewTTL {
+	if revision < e.knownRevision && !full && now-e.knownCurrentAt < NewerViewTTL {
 		return false
 	}
 	e.knownRevision, e.knownCurrentAt = revision, now
--- a/internal/routing/datagrams_test.go
+++ b/internal/routing/datagrams_test.go
@@ -149,7 +149,9 @@
 		env.receiveAll(5)
 	}
 	started := len(env.attempts)
-	env.sendRequest(0)
+	for range 10 { // some have so little time left that no attempt is worth its while
+		env.sendRequest(0)
+	}
 	env.router.turn()
 	if len(env.attempts) == started {
 		t.Error("the gateway does not serve once its peers are silent")
--- a/internal/routing/endpointlist.go
+++ b/internal/routing/endpointlist.go
@@ -57,11 +57,11 @@
 	r.list.revision = list.Revision
 	current := update.Cached || r.list.exchange == nil ||
 		r.list.exchange.DiscoveryConfirmed(list.Revision, update.Full, now)
-	caughtUp := current && r.discardPeerView(update.Full)
-	r.applyMembers(list, now)
-	if caughtUp {
-		r.restoreDeparted(now)
+	if current {
+		r.discardPeerView(update.Full)
 	}
+	r.applyMembers(list, now)
+	r.restoreDeparted(now)
 	r.balancer.CommitEndpointList(update.Cached, now)
 	if !update.Cached {
 		r.listConfirmed(current, now)
@@ -92,7 +92,7 @@
 		r.drivers.CloseIdleConnections(address)
 	}
 	record.list(member, r.list.revision, now)
-	record.departed = r.list.newerView != nil && !r.list.newerView.ready[record.incarnation]
+	record.departed = r.isDeparted(record, now)
 	r.verifyBuild(record.listed.Build)
 	r.balancer.UpdateEndpoint(record.endpoint, record.status(), now)
 }
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -22,7 +22,12 @@
 
 	incarnation  uint32
 	downRevision int64 // the newest revision by which it was draining or removed
-	departed     bool  // the newer view of a peer lacks it
+	departed     bool  // peers know that it has begun to drain or has gone, as of the latest list or view
+
+	// A discarded view of this revision lacked it; discovery had counted from an older one again. That stands until
+	// discovery has come as far, the endpoint has restarted, or this moment.
+	departedRevision int64
+	departedUntil    monotonic.Time
 }
 
 // ready reports whether the endpoint takes requests, by discovery and by peers.
@@ -50,6 +55,9 @@
 	if member.Ready && record.downRevision > revision && sameIncarnation {
 		member.Ready = false
 	}
+	if member.Present && !sameIncarnation {
+		record.departedUntil = 0
+	}
 	if !member.Present { // the entry of a removed endpoint may lack the rest
 		member.StartedAt, member.Build = record.listed.StartedAt, record.listed.Build
 	}
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -12,8 +12,9 @@
 
 // peerView is a peer's view of a revision that discovery has not given this gateway yet.
 type peerView struct {
-	revision int64
-	ready    map[uint32]bool // by incarnation
+	revision    int64
+	confirmedAt monotonic.Time  // the moment for which it holds
+	ready       map[uint32]bool // by incarnation
 }
 
 // DatagramReceived posts a datagram of the gateway of a rank.
@@ -41,7 +42,8 @@
 		return true
 	}
 	if learned.Ready != nil {
-		r.applyPeerView(&peerView{revision: learned.Revision, ready: learned.Ready}, now)
+		view := &peerView{revision: learned.Revision, confirmedAt: learned.ConfirmedAt, ready: learned.Ready}
+		r.applyPeerView(view, now)
 	}
 	r.balancer.EndpointListConfirmed(learned.ConfirmedAt)
 	return true
@@ -69,34 +71,40 @@
 	r.withholdDisallowed(now)
 }
 
-// discardPeerView forgets a peer's view, as the list held is current, and reports whether there was one. Where discovery
-// counts from an older revision again, what the view lacked stays unready.
-func (r *Router) discardPeerView(full bool) bool {
+// discardPeerView forgets a peer's view, as the list held is current. Where discovery counts from an older revision again,
+// what the view lacked stays unready for as long as the view would have stood. It is no longer than that: a single view may
+// be faulty, or of a revision that discovery never comes to again.
+func (r *Router) discardPeerView(full bool) {
 	view := r.list.newerView
 	if view == nil {
-		return false
+		return
 	}
 	if full && r.list.revision < view.revision {
 		for _, record := range r.endpoints.byID {
 			if record.departed {
-				record.downRevision = max(record.downRevision, view.revision)
+				record.departedRevision = view.revision
+				record.departedUntil = view.confirmedAt + gossip.NewerViewTTL
 			}
 		}
 	}
 	r.list.newerView = nil
-	return true
+}
+
+// isDeparted reports whether peers know that an endpoint has begun to drain or has gone, and discovery has not come so far.
+func (r *Router) isDeparted(record *endpointRecord, now monotonic.Time) bool {
+	if view := r.list.newerView; view != nil {
+		return !view.ready[record.incarnation]
+	}
+	return r.list.revision < record.departedRevision && now < record.departedUntil
 }
 
 // restoreDeparted has the endpoints that a discarded view lacked go by discovery again.
 func (r *Router) restoreDeparted(now monotonic.Time) {
 	for _, record := range r.endpoints.byID {
-		if !record.departed {
+		if !record.departed || r.isDeparted(record, now) {
 			continue
 		}
 		record.departed = false
-		if record.downRevision > r.list.revision {
-			record.listed.Ready = false
-		}
 		if record.removedAt == 0 {
 			r.balancer.UpdateEndpoint(record.endpoint, record.status(), now)
 		}
