--- a/decision/evidence.go
+++ b/decision/evidence.go
@@ -156,7 +156,7 @@
 func (lb *Balancer) pooledCounters() rollout.Table {
 	sum := lb.rollout.evidence.own.Clone()
 	sum.Add(lb.rollout.evidence.restarted)
-	lb.rollout.peers.reports.AddTo(sum, lb.rollout.build)
+	lb.rollout.peers.reports.AddTo(sum)
 	return sum
 }
 
--- a/decision/evidencereport.go
+++ b/decision/evidencereport.go
@@ -12,6 +12,8 @@
 	evidenceInterval = 500 * time.Millisecond
 	// evidenceTTL is how long after its last report a peer counts as heard.
 	evidenceTTL = 1500 * time.Millisecond
+	// maxClockSkew is how far the clocks of two gateways may lie apart.
+	maxClockSkew = 100 * time.Millisecond
 	// maxObservations bounds the endpoints in one message; the others wait for the next.
 	maxObservations = 20
 	// Costs are compared only where at least minReporting in minReportingOf of the other gateways are heard.
@@ -86,7 +88,7 @@
 // EvidenceReceived takes in a peer's evidence report. Of each sender the latest counts.
 func (lb *Balancer) EvidenceReceived(report *EvidenceReport, now monotonic.Time) {
 	peers := &lb.rollout.peers
-	if report.Sender < 0 || report.Sender >= len(peers.reports) || report.Sender == lb.rank {
+	if report.Sender < 0 || report.Sender >= peers.reports.Gateways() || report.Sender == lb.rank {
 		return
 	}
 	counters, ok := rollout.Decode(report.Counters, len(lb.opTypes))
@@ -94,7 +96,9 @@
 		return
 	}
 	lb.recordObservations(report.Observations, now)
-	current := &rollout.Report{CountedAt: report.CountedAt, Build: report.Build, Counters: counters}
+	// One that says it was counted long after it came, as by a faulty clock, must not outlast those that follow it.
+	countedAt := min(report.CountedAt, now+maxClockSkew)
+	current := &rollout.Report{CountedAt: countedAt, Build: report.Build, Counters: counters}
 	previous, accepted := peers.reports.Accept(report.Sender, current)
 	// Build 0 stands for no build under judgement: a report that names it is of none, and there are no totals to reconcile.
 	if accepted && lb.rollout.judging() && report.Build == lb.rollout.build {
@@ -119,7 +123,7 @@
 // of the comparison of costs: the busy time beside its attempts was not counted.
 func (lb *Balancer) reconcileTotals(previous, current *rollout.Report) {
 	cost := &lb.rollout.cost
-	if previous != nil && previous.Build == current.Build {
+	if previous != nil {
 		if current.Counters.RestartedSince(previous.Counters) {
 			lb.rollout.evidence.restarted.Add(previous.Counters)
 		}
--- a/decision/rollout.go
+++ b/decision/rollout.go
@@ -49,7 +49,7 @@
 			harmCost:      costs.Harm,
 			peerMessages:  peerMessages,
 		},
-		peers:  peerEvidenceState{reports: make(rollout.PeerReports, gateways)},
+		peers:  peerEvidenceState{reports: rollout.NewPeerReports(gateways)},
 		voters: voterState{selection: rollout.NewVoters(gateways, voters)},
 		stage:  stageState{promoteCheckAt: noCheck},
 	}
@@ -80,6 +80,7 @@
 	}
 	lb.canary.stickyKeys.CanaryStarted()
 	state.build, state.buildSeenAt = build, now
+	state.peers.reports.Judge(build)
 	state.evidence = newEvidenceState(len(lb.opTypes))
 	var costStart rollout.Table
 	if state.statusReceived { // this gateway ran before the build was seen, and so counts all of its busy time
