--- a/decision/forgedreports_test.go
+++ b/decision/forgedreports_test.go
@@ -75,3 +75,22 @@
 		t.Errorf("the verdict %v is followed (heard: %t), want a rollback", verdict, heard)
 	}
 }
+
+// A voter's report on a build that nobody else knows displaced its verdict on the present one.
+func TestVoterReportOnOtherBuildDisplacesNone(t *testing.T) {
+	gateway := newFleetMember(9, PromoteByQuorum, 0, 60, 10)
+	lb := gateway.balancer
+	lb.RolloutChanged(RolloutStatus{Build: 1, Stage: 2, Phase: PhaseReleased, ExposureCap: 1}, gateway.now)
+	lb.RolloutChanged(RolloutStatus{Build: 2, Phase: PhaseCanary, ExposureCap: 0.1}, gateway.now)
+	voter, displaced := lb.voters(2)[1], 0
+	lb.VoterReportReceived(&VoterReport{Sender: voter, FoundAt: gateway.now, Build: 2, Verdict: VerdictRollBack}, gateway.now)
+	for build := 3; build <= math.MaxUint16; build += 7 {
+		lb.VoterReportReceived(&VoterReport{Sender: voter, FoundAt: gateway.now + 1, Build: build}, gateway.now)
+		if verdict, _ := lb.followedVerdict(gateway.now); verdict != VerdictRollBack {
+			displaced++
+		}
+	}
+	if kept := len(lb.rollout.voters.reports); displaced > 0 || kept != 2 {
+		t.Errorf("displaced %d times; %d reports of one voter are kept, want 2", displaced, kept)
+	}
+}
--- a/decision/voters.go
+++ b/decision/voters.go
@@ -18,7 +18,7 @@
 // voterState is who judges a build, and what they report.
 type voterState struct {
 	selection rollout.Voters
-	reports   []*VoterReport // the latest of each voter
+	reports   []*VoterReport // the latest of each voter, on the newest build and on one after it
 
 	// What this gateway last reported as a voter, and when it repeats that.
 	reportedVerdict  Verdict
@@ -90,14 +90,18 @@
 	}
 }
 
-// VoterReportReceived takes in a voter's report. Of each voter the latest counts; other gateways are not heard.
+// VoterReportReceived takes in a voter's report. Of each voter the latest counts, of those on the newest build that is known here
+// and of those on later ones; other gateways are not heard.
 func (lb *Balancer) VoterReportReceived(report *VoterReport, now monotonic.Time) {
 	state := &lb.rollout
-	if report.Sender == lb.rank || report.Build < max(state.build, lb.canary.build) ||
+	newest := max(state.build, lb.canary.build)
+	if report.Sender == lb.rank || report.Build < newest ||
 		!slices.Contains(lb.voters(report.Build), report.Sender) {
 		return
 	}
 	report.receivedAt = now
+	// One that says it was found long after it came must not outlast those that follow it.
+	report.FoundAt = min(report.FoundAt, now+maxClockSkew)
 	for _, endpoint := range report.Outliers {
 		endpoint.outlierUntil = now + voterReportInterval + evidenceInterval
 	}
@@ -105,14 +109,18 @@
 	if report.BaselineCost > 0 && (!state.judging() || state.cost.perRequest == 0) {
 		state.cost.perRequest = report.BaselineCost
 	}
-	state.voters.store(report)
+	state.voters.store(report, newest)
 }
 
-// store keeps a report if it is its sender's latest.
-func (v *voterState) store(report *VoterReport) {
+// store keeps a report if it is its sender's latest: on the newest build known, or on one after that. So each voter has two at
+// most, and a report on a build that nobody else knows displaces none on the present one.
+func (v *voterState) store(report *VoterReport, newest int) {
+	v.reports = slices.DeleteFunc(v.reports, func(previous *VoterReport) bool {
+		return previous.Sender == report.Sender && previous.Build < newest
+	})
 	for i, previous := range v.reports {
-		if previous.Sender == report.Sender {
-			if report.FoundAt > previous.FoundAt || report.Build > previous.Build {
+		if previous.Sender == report.Sender && (previous.Build == newest) == (report.Build == newest) {
+			if report.FoundAt > previous.FoundAt {
 				v.reports[i] = report
 			}
 			return
