--- a/internal/protocol/evidence.go
+++ b/internal/protocol/evidence.go
@@ -140,14 +140,16 @@
 	return b
 }
 
-// DecodeVoterReport reads a datagram of a sender; nil if it holds no voter report. Outliers that are unknown here are
-// left out.
+// DecodeVoterReport reads a datagram of a sender; nil if it holds no voter report, or one with a cost that cannot be.
+// Outliers that are unknown here are left out.
 func DecodeVoterReport(data []byte, sender int, endpoint func(number uint32) *decision.Endpoint) *decision.VoterReport {
 	if len(data) < voterHeaderSize || (len(data)-voterHeaderSize)%endpointNumberSize != 0 || data[0] != voterReportTag {
 		return nil
 	}
 	verdict := decision.Verdict(data[voterVerdict])
-	if verdict > decision.VerdictRollBack {
+	cost := float64(math.Float32frombits(binary.LittleEndian.Uint32(data[voterBaselineCost:])))
+	// A cost that is no finite number would make every later figure that is smoothed from it none either.
+	if verdict > decision.VerdictRollBack || math.IsNaN(cost) || math.IsInf(cost, 0) || cost < 0 {
 		return nil
 	}
 	report := &decision.VoterReport{
@@ -156,7 +158,7 @@
 		Build:        int(binary.LittleEndian.Uint16(data[voterBuild:])),
 		Stage:        int(data[voterStage]),
 		Verdict:      verdict,
-		BaselineCost: float64(math.Float32frombits(binary.LittleEndian.Uint32(data[voterBaselineCost:]))),
+		BaselineCost: cost,
 	}
 	for rest := data[voterHeaderSize:]; len(rest) > 0; rest = rest[endpointNumberSize:] {
 		if it := endpoint(binary.LittleEndian.Uint32(rest)); it != nil {
