--- a/cmd/gateway/build.go
+++ b/cmd/gateway/build.go
@@ -99,6 +99,7 @@
 	g.endpoints, err = transport.NewEndpointPool(transport.EndpointPoolConfig{
 		Budget:         g.budget,
 		Log:            g.limitedLog,
+		Clock:          g.clock,
 		ConnectTimeout: g.configuration.settings.ConnectTimeout,
 		IdleTimeout:    g.configuration.settings.IdleTimeout / 2, // before the endpoint closes the connection
 	})
@@ -159,7 +160,7 @@
 		Gossip:           g.newGossipExchange(),
 		Drivers: routing.Drivers{
 			StartAttempt: func(attempt routing.AttemptRequest) routing.AttemptHandle {
-				return g.endpoints.Send(attempt.Address, attempt.Deadline, attempt.Encode, attempt.Finished)
+				return g.endpoints.Send(transport.AttemptRequest(attempt))
 			},
 			CloseIdleConnections: g.endpoints.CloseIdleTo,
 			SendDatagram:         sendDatagram,
--- a/decision/rules.go
+++ b/decision/rules.go
@@ -32,6 +32,12 @@
 		!(lb.isCanary(attempt.build) && attempt.build <= lb.canary.build && lb.canary.cap <= 0)
 }
 
+// MaySend reports whether an attempt of which nothing has gone out may go out now: it is still allowed, its time is not over,
+// and what arrived during a stall of the process has been read.
+func (lb *Balancer) MaySend(attempt *Attempt, now monotonic.Time) bool {
+	return lb.AttemptAllowed(attempt, now) && now < attempt.request.deadline && now >= lb.catchUpUntil
+}
+
 // RequireVerifiedBuilds lets attempts go to verified builds only, of which none is known yet.
 func (lb *Balancer) RequireVerifiedBuilds() { lb.verifiedBuilds = map[int]bool{} }
 
--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -37,15 +37,32 @@
 	endpoint := r.endpoints.byDecision[verdict.Endpoint]
 	r.requestLog.attemptStarted(request.id, endpoint, r.list.revision, attempt.state.Number())
 	attempt.handle = r.drivers.StartAttempt(AttemptRequest{
-		Address:  endpoint.listed.Address,
-		Deadline: time.Now().Add(verdict.Timeout),
-		Encode:   request.encode,
+		Address:   endpoint.listed.Address,
+		DecidedAt: now,
+		Deadline:  attempt.cancelAt,
+		Encode:    request.encode,
+		Connected: func() {
+			r.events <- func(now monotonic.Time) { r.attemptConnected(attempt, now) }
+		},
 		Finished: func(response protocol.Response) {
 			r.events <- func(now monotonic.Time) { r.finishAttempt(attempt, response, now) }
 		},
 	})
 }
 
+// attemptConnected decides again on an attempt whose connection has been established: meanwhile its client may have left, its
+// endpoint may drain, or the process may have stalled.
+func (r *Router) attemptConnected(attempt *activeAttempt, now monotonic.Time) {
+	if attempt.request.attempts[attempt.state] != attempt {
+		return
+	}
+	if r.balancer.MaySend(attempt.state, now) {
+		attempt.handle.Proceed(now)
+	} else if attempt.handle.Withhold() {
+		r.finishAttempt(attempt, protocol.Response{Outcome: decision.OutcomeNotSent}, now)
+	}
+}
+
 // finishAttempt takes in how an attempt ended, unless it was canceled before.
 func (r *Router) finishAttempt(attempt *activeAttempt, response protocol.Response, now monotonic.Time) {
 	request := attempt.request
@@ -62,7 +79,7 @@
 		outcome = decision.OutcomeError // a response without a value answers some other request
 	}
 	if outcome == decision.OutcomeSuccess {
-		r.balancer.AttemptServed(attempt.state, now-attempt.handle.ConnectionAge())
+		r.balancer.AttemptServed(attempt.state, attempt.handle.ConnectedAt())
 	}
 	duration := now - attempt.startedAt
 	settled := request.client == nil
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -25,16 +25,24 @@
 	Cancel() (reachedEndpoint, alreadyFinished bool)
 	// Withhold cancels the attempt if nothing of it has been sent, and reports whether it did.
 	Withhold() bool
-	// ConnectionAge is the age of the connection that the attempt was sent on.
-	ConnectionAge() time.Duration
+	// Proceed lets an attempt go out that has called Connected. The moment takes the place of DecidedAt.
+	Proceed(decidedAt monotonic.Time)
+	// ConnectedAt is when the connection was established that the attempt was sent on, by the router's clock.
+	ConnectedAt() monotonic.Time
 }
 
 // AttemptRequest describes an attempt to start.
 type AttemptRequest struct {
-	Address  string    // of the endpoint
-	Deadline time.Time // until when the router waits for an outcome
+	Address string // of the endpoint
+	// DecidedAt is the reading of the router's clock on which the attempt was decided. Nothing may be sent long after it:
+	// the process may have stalled since, and the decision rests on a state that is past.
+	DecidedAt monotonic.Time
+	Deadline  monotonic.Time // until when the router waits for an outcome
 	// Encode gives the request's bytes, given the time that remains as they are sent.
 	Encode func(remaining time.Duration) []byte
+	// Connected is to be called, on another goroutine than the router's, once a connection had to be established and it
+	// has been. Nothing may be sent until Proceed is called then: that took time, and the decision is taken again.
+	Connected func()
 	// Finished is to be called once with the outcome, on another goroutine than the router's, unless the attempt was
 	// canceled or withheld before.
 	Finished func(protocol.Response)
@@ -60,7 +68,7 @@
 type Config struct {
 	Balancer         *decision.Balancer
 	UtilizationField string                // the field of a load report that gives an endpoint's utilization
-	Clock            func() monotonic.Time // whole nanoseconds; it must not go back
+	Clock            func() monotonic.Time // whole nanoseconds; it must not go back; the drivers read the same
 	Drivers          Drivers
 	Gossip           *gossip.Exchange // nil where gateways exchange no views of the endpoint list
 }
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -5,26 +5,73 @@
 	"time"
 
 	"laurelring/decision"
+	"laurelring/decision/monotonic"
 	"laurelring/internal/protocol"
 )
 
+// AttemptRequest describes an attempt to send. All fields are required.
+type AttemptRequest struct {
+	Address   string         // of the endpoint
+	DecidedAt monotonic.Time // the reading of the pool's clock on which the attempt was decided
+	Deadline  monotonic.Time // until when the outcome is waited for
+	// Encode makes the request, given the time until the deadline as it goes out.
+	Encode func(remaining time.Duration) []byte
+	// Connected is called on another goroutine once a new connection is established for the attempt, which then waits for
+	// Proceed. It may block.
+	Connected func()
+	// Finished is called once with the outcome, on another goroutine, unless the attempt was canceled or withheld before.
+	Finished func(protocol.Response)
+}
+
 // Attempt is one sending of a request to an endpoint. It finishes once: by its outcome, by Cancel or by Withhold.
 type Attempt struct {
-	decidedAt  time.Time
-	deadline   time.Time
-	encode     func(remaining time.Duration) []byte
-	onResponse func(protocol.Response)
+	request AttemptRequest
+	decided chan struct{} // receives an element by Proceed, or as the attempt finishes
 
 	mu         sync.Mutex
+	decidedAt  monotonic.Time // the latest decision to send it
 	finished   bool
 	started    bool                // its first byte may have gone out
 	connection *endpointConnection // nil before it started
 }
 
-// newAttempt returns an attempt that is decided now.
-func newAttempt(deadline time.Time, encode func(remaining time.Duration) []byte,
-	onResponse func(protocol.Response)) *Attempt {
-	return &Attempt{decidedAt: time.Now(), deadline: deadline, encode: encode, onResponse: onResponse}
+func newAttempt(request AttemptRequest) *Attempt {
+	return &Attempt{request: request, decidedAt: request.DecidedAt, decided: make(chan struct{}, 1)}
+}
+
+// Proceed lets an attempt go out that has called Connected, by a decision of that moment.
+func (a *Attempt) Proceed(decidedAt monotonic.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.decidedAt = decidedAt
+	a.signalDecided()
+}
+
+// signalDecided ends the wait of awaitDecision.
+func (a *Attempt) signalDecided() {
+	select {
+	case a.decided <- struct{}{}:
+	default:
+	}
+}
+
+// awaitDecision has the attempt decided again, as a connection was established for it, and waits for that, for a span at
+// most.
+func (a *Attempt) awaitDecision(limit time.Duration) {
+	a.request.Connected()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-a.decided:
+	case <-timer.C:
+	}
+}
+
+// decisionAge returns how long before a moment the attempt was last decided.
+func (a *Attempt) decisionAge(now monotonic.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now - a.decidedAt
 }
 
 // Cancel finishes an attempt without an outcome. The connection of one that has started is closed before Cancel
@@ -35,6 +82,7 @@
 	a.mu.Lock()
 	connection, started, wasFinished := a.connection, a.started, a.finished
 	a.finished = true
+	a.signalDecided()
 	a.mu.Unlock()
 	if started && !wasFinished {
 		connection.close("attempt given up")
@@ -50,23 +98,21 @@
 		return false
 	}
 	a.finished = true
+	a.signalDecided()
 	return true
 }
 
-// ConnectionAge returns for how long the attempt's connection has been open, or 0 before the attempt started.
-func (a *Attempt) ConnectionAge() time.Duration {
+// ConnectedAt returns when the attempt's connection was established. It may be called once the attempt was answered.
+func (a *Attempt) ConnectedAt() monotonic.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.connection == nil {
-		return 0
-	}
-	return time.Since(a.connection.openedAt)
+	return a.connection.openedAt
 }
 
 // finish reports the outcome, unless the attempt had finished before.
 func (a *Attempt) finish(outcome decision.Outcome) {
 	if a.markFinished() {
-		a.onResponse(protocol.Response{Outcome: outcome})
+		a.request.Finished(protocol.Response{Outcome: outcome})
 	}
 }
 
--- a/internal/transport/endpoint_connection.go
+++ b/internal/transport/endpoint_connection.go
@@ -12,18 +12,19 @@
 	"golang.org/x/sys/unix"
 
 	"laurelring/decision"
+	"laurelring/decision/monotonic"
 	"laurelring/internal/protocol"
 )
 
-// maxStartDelay is how much longer than a connection may take to be established an attempt may wait until its first
-// byte goes out. An attempt that is later was decided on a state that is past, as when the process was stalled.
-const maxStartDelay = 250 * time.Millisecond
+// maxDecisionAge is how long after the reading of the clock on which it was decided an attempt may go out. A later one was
+// decided on a state that is past, as when the process stalled; deadlines and graces allow for a stall this short.
+const maxDecisionAge = 150 * time.Millisecond
 
 // endpointConnection is one connection to an endpoint. It ends in close, which alone gives its descriptor back.
 type endpointConnection struct {
 	pool     *EndpointPool
 	address  string
-	openedAt time.Time
+	openedAt monotonic.Time
 	conn     *net.TCPConn
 	rawConn  syscall.RawConn
 
@@ -36,6 +37,12 @@
 	idleSince time.Time // guarded by the lock of the pool
 }
 
+// sendFirst sends the attempt for which the connection was established, once that has been decided again.
+func (c *endpointConnection) sendFirst(attempt *Attempt) {
+	attempt.awaitDecision(attempt.request.Deadline - c.pool.clock())
+	c.send(attempt, false)
+}
+
 // send writes an attempt's request. Until the last byte is written the request can't have run. A reused connection
 // that has ended meanwhile, or on which anything has arrived since its last response, is replaced by a new one, as
 // long as nothing was written.
@@ -45,11 +52,12 @@
 		c.resend(attempt, reused)
 		return
 	}
-	remaining := time.Until(attempt.deadline)
-	request := attempt.encode(remaining)
 	c.conn.SetReadDeadline(time.Time{})
-	// Nothing but the write itself follows this look at the time: the process may be stalled at any point.
-	if remaining <= 0 || time.Since(attempt.decidedAt) > c.pool.connectTimeout+maxStartDelay {
+	request := attempt.request.Encode(attempt.request.Deadline - c.pool.clock())
+	// Nothing but the write itself follows this look at the time: the process may be stalled at any point. The moment of the
+	// decision is the router's own reading: one taken here would hide a stall since then.
+	now := c.pool.clock()
+	if now >= attempt.request.Deadline || attempt.decisionAge(now) > maxDecisionAge {
 		attempt.finish(decision.OutcomeNotSent)
 	}
 	if !attempt.markStarted(c) {
@@ -190,7 +198,7 @@
 		c.pool.putIdle(c)
 	}
 	if first {
-		attempt.onResponse(response)
+		attempt.request.Finished(response)
 	}
 	return wellFormed
 }
--- a/internal/transport/endpoint_pool.go
+++ b/internal/transport/endpoint_pool.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"laurelring/decision"
-	"laurelring/internal/protocol"
+	"laurelring/decision/monotonic"
 )
 
 // reuseDelay is for how long a connection is idle before it is used again: what an endpoint sends beyond its response
@@ -19,6 +19,7 @@
 // so that no response waits behind another, and giving one attempt up ends no other one.
 type EndpointPool struct {
 	quota          *descriptorQuota
+	clock          func() monotonic.Time
 	log            *RateLimitedLog
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
@@ -32,14 +33,17 @@
 type EndpointPoolConfig struct {
 	Budget         *DescriptorBudget
 	Log            *RateLimitedLog
-	ConnectTimeout time.Duration // until a connection is established
-	IdleTimeout    time.Duration // after which an unused connection is closed
+	Clock          func() monotonic.Time // the one by which attempts are decided
+	ConnectTimeout time.Duration         // until a connection is established
+	IdleTimeout    time.Duration         // after which an unused connection is closed
 }
 
 func (c *EndpointPoolConfig) validate() error {
 	switch {
 	case c.Budget == nil || c.Log == nil:
 		return errors.New("endpoint pool needs a descriptor budget and a log")
+	case c.Clock == nil:
+		return errors.New("endpoint pool needs a clock")
 	case c.ConnectTimeout < 0 || c.IdleTimeout < 0:
 		return errors.New("endpoint pool timeouts must not be negative")
 	}
@@ -53,6 +57,7 @@
 		return nil, err
 	}
 	p := &EndpointPool{
+		clock:          config.Clock,
 		log:            config.Log,
 		connectTimeout: config.ConnectTimeout,
 		idleTimeout:    config.IdleTimeout,
@@ -62,16 +67,13 @@
 	return p, nil
 }
 
-// Send starts an attempt at an endpoint without waiting for it. encode makes its request, given the time until the
-// deadline as the request goes out. onResponse is called once with the outcome, on another goroutine, unless the
-// attempt was given up or withheld before.
-func (p *EndpointPool) Send(address string, deadline time.Time, encode func(remaining time.Duration) []byte,
-	onResponse func(protocol.Response)) *Attempt {
-	attempt := newAttempt(deadline, encode, onResponse)
-	if c := p.takeIdle(address); c != nil {
+// Send starts an attempt at an endpoint without waiting for it.
+func (p *EndpointPool) Send(request AttemptRequest) *Attempt {
+	attempt := newAttempt(request)
+	if c := p.takeIdle(request.Address); c != nil {
 		go c.send(attempt, true)
 	} else {
-		go p.connect(address, attempt)
+		go p.connect(request.Address, attempt)
 	}
 	return attempt
 }
@@ -101,13 +103,13 @@
 		attempt.finish(decision.OutcomeConnectFailed)
 		return
 	}
-	c := &endpointConnection{pool: p, address: address, openedAt: time.Now(), conn: conn.(*net.TCPConn)}
+	c := &endpointConnection{pool: p, address: address, openedAt: p.clock(), conn: conn.(*net.TCPConn)}
 	if c.rawConn, err = c.conn.SyscallConn(); err != nil {
 		c.close(err.Error())
 		attempt.finish(decision.OutcomeConnectFailed)
 		return
 	}
-	go c.send(attempt, false)
+	go c.sendFirst(attempt)
 	c.readResponses()
 }
 
