--- a/cmd/gateway/build.go
+++ b/cmd/gateway/build.go
@@ -166,6 +166,7 @@
 			SendDatagram:         sendDatagram,
 			CastVote:             func(vote decision.Vote) { g.rollout.Vote(vote) },
 			PollDiscovery:        func() { g.discovery.StartWatch(ctx) },
+			HasUnhandledNotice:   func() bool { return g.discovery.HasUnhandled() || g.rollout.HasUnhandled() },
 			VerifyBuild:          verifyBuild,
 		},
 	})
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -23,8 +23,9 @@
 	attemptLimits  attemptLimits
 	random         seeded.Source
 
-	startedAt    monotonic.Time // just before the first Tick; 0 before that
-	catchUpUntil monotonic.Time // no attempt starts until then, after the process stalled
+	startedAt      monotonic.Time // just before the first Tick; 0 before that
+	catchUpUntil   monotonic.Time // no attempt starts until then, after the process stalled
+	stallNoticedAt monotonic.Time // when the latest stall that has anything caught up was noticed
 
 	opTypes        []*OpType
 	endpoints      []*Endpoint // those that the list names, and those with attempts in flight
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -12,8 +12,11 @@
 	harmlessStall = 150 * time.Millisecond
 	// maxTrustedStall is how long it may and still take in what arrived meanwhile within the grace of a drain.
 	maxTrustedStall = 600 * time.Millisecond
-	// catchUpPause is how long no attempt starts after a stall, so that what arrived meanwhile is read first.
+	// catchUpPause is how long no attempt starts after a stall at the least, so that what arrived meanwhile is read first.
 	catchUpPause = 30 * time.Millisecond
+	// maxCatchUp is how long it is waited for that at the most: a response may go on arriving for longer, and the lease on
+	// the endpoint list bounds what is done by the list before it.
+	maxCatchUp = time.Second
 )
 
 // StartLease has the endpoint list trusted for no longer than a lease, of which the first begins now. Without it the list
@@ -67,13 +70,32 @@
 // the call for it may have been given up with its answer unread.
 func (lb *Balancer) ProcessStalled(span time.Duration, now monotonic.Time) {
 	if span > harmlessStall {
-		lb.catchUpUntil = now + catchUpPause
+		lb.stallNoticedAt, lb.catchUpUntil = now, now+catchUpPause
 	}
 	if span > maxTrustedStall {
 		lb.endpointList.lease.Suspect(now, 0)
 	}
 }
 
+// NoticeUnread takes in that something which arrived during the latest stall may still be unread: no attempt starts at this
+// moment.
+func (lb *Balancer) NoticeUnread(now monotonic.Time) {
+	lb.catchUpUntil = max(lb.catchUpUntil, now+lb.tick)
+}
+
+// CatchUpPauseOver reports whether the least pause after the latest stall is over.
+func (lb *Balancer) CatchUpPauseOver(now monotonic.Time) bool {
+	return now >= lb.stallNoticedAt+catchUpPause
+}
+
+// CatchUpOverdue reports whether it was waited long enough for what arrived during the latest stall to be read.
+func (lb *Balancer) CatchUpOverdue(now monotonic.Time) bool {
+	return now >= lb.stallNoticedAt+maxCatchUp
+}
+
+// CaughtUp takes in that what arrived during the latest stall has been read: attempts may start again.
+func (lb *Balancer) CaughtUp(now monotonic.Time) { lb.catchUpUntil = min(lb.catchUpUntil, now) }
+
 // trusted reports whether the list may be relied on for an endpoint.
 func (lb *Balancer) trusted(endpoint *Endpoint, now monotonic.Time) bool {
 	return lb.endpointList.lease.Trusted(endpoint.provedReadyAt, now)
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -48,7 +48,7 @@
 	Finished func(protocol.Response)
 }
 
-// Drivers do the router's I/O. All but VerifyBuild are required, and none may block.
+// Drivers do the router's I/O. All but HasUnhandledNotice and VerifyBuild are required, and none may block.
 type Drivers struct {
 	StartAttempt func(AttemptRequest) AttemptHandle
 	// CloseIdleConnections closes the idle connections to an address that is no longer listed.
@@ -59,6 +59,9 @@
 	CastVote func(decision.Vote)
 	// PollDiscovery watches the endpoint list from here on, unless a watch is already established.
 	PollDiscovery func()
+	// HasUnhandledNotice reports whether discovery or the rollout controller has sent something that has not been posted
+	// yet. Nil where nobody knows: a pause after each stall has to do then.
+	HasUnhandledNotice func() bool
 	// VerifyBuild is given each build as it is first listed; BuildVerified is to be called with the result. Nil where
 	// builds are not verified.
 	VerifyBuild func(build int)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -84,6 +84,7 @@
 func (r *Router) turn() time.Duration {
 	r.processWaitingEvents()
 	now := r.readClock()
+	r.endCatchUp(now)
 	r.cancelOverdue(now)
 	wait := r.performDueWork(now)
 	if r.list.exchange != nil {
--- a/internal/transport/controller_connection.go
+++ b/internal/transport/controller_connection.go
@@ -44,7 +44,7 @@
 
 // serve receives statuses and casts votes on one connection until it is lost or silent. It returns nil where it was
 // closed because the address has changed or the context has ended.
-func (c *RolloutClient) serve(ctx context.Context, address string, conn net.Conn) error {
+func (c *RolloutClient) serve(ctx context.Context, address string, conn *observedConn) error {
 	connection := &controllerConnection{client: c, address: address, conn: conn, votes: c.votes}
 	defer connection.close()
 	lines, broken, done := make(chan []byte), make(chan error, 1), make(chan struct{})
@@ -60,6 +60,9 @@
 		case <-c.addressChanged:
 			connection.drain()
 		case line := <-lines:
+			if line == nil { // those before are handled
+				continue
+			}
 			if err := connection.handleLine(line); err != nil {
 				return err
 			}
@@ -157,8 +160,9 @@
 	}
 }
 
-// readLines passes complete lines on until the connection ends, a line is not complete in time, or done is closed.
-func readLines(conn net.Conn, lines chan<- []byte, broken chan<- error, done <-chan struct{}) {
+// readLines passes complete lines on until the connection ends, a line is not complete in time, or done is closed. After the
+// last complete line of a read it passes nil on: once that is taken, the lines before it are handled.
+func readLines(conn *observedConn, lines chan<- []byte, broken chan<- error, done <-chan struct{}) {
 	buffer := protocol.NewBuffer(protocol.MaxLineSize)
 	for {
 		n, err := conn.Read(buffer.Space())
@@ -171,12 +175,13 @@
 			if line == nil {
 				break
 			}
-			select {
-			case lines <- append([]byte(nil), line...):
-			case <-done:
+			if !passLine(append([]byte(nil), line...), lines, done) {
 				return
 			}
 		}
+		if !passLine(nil, lines, done) {
+			return
+		}
 		if err != nil {
 			broken <- err
 			return
@@ -184,7 +189,19 @@
 		deadline := time.Time{} // none between two lines: serve sees the silence
 		if len(buffer.Bytes()) > 0 {
 			deadline = time.Now().Add(lineTimeout)
+		} else {
+			conn.markHandled()
 		}
 		conn.SetReadDeadline(deadline)
 	}
 }
+
+// passLine passes a line on and reports whether it was taken, which it is not once done is closed.
+func passLine(line []byte, lines chan<- []byte, done <-chan struct{}) (taken bool) {
+	select {
+	case lines <- line:
+		return true
+	case <-done:
+		return false
+	}
+}
--- a/internal/transport/discovery_client.go
+++ b/internal/transport/discovery_client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -39,6 +40,7 @@
 	client   *http.Client
 	maxWait  time.Duration
 	watching atomic.Bool
+	conn     atomic.Pointer[observedConn] // the one opened last, nil before the first
 
 	// Only the goroutine of the watch touches these.
 	revision    int64 // of the last list that OnList accepted
@@ -86,17 +88,46 @@
 		return nil, err
 	}
 	maxWait := min(config.MaxWait, longPollLimit)
-	return &DiscoveryClient{
+	c := &DiscoveryClient{
 		config:     config,
 		maxWait:    maxWait,
 		revision:   config.Revision,
 		address:    config.Address,
 		cancelPoll: func() {},
-		client: &http.Client{
-			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
-			Timeout:   maxWait + responseGrace,
-		},
-	}, nil
+	}
+	c.client = &http.Client{
+		Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true, DialContext: c.dial},
+		Timeout:   maxWait + responseGrace,
+	}
+	return c, nil
+}
+
+// dial opens a connection whose unread bytes HasUnhandled sees.
+func (c *DiscoveryClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	observed, err := observe(conn)
+	if err != nil {
+		return nil, err
+	}
+	c.conn.Store(observed)
+	return observed, nil
+}
+
+// HasUnhandled reports whether discovery has sent something that OnList or OnFailure has not been given yet. It does not
+// wait.
+func (c *DiscoveryClient) HasUnhandled() bool {
+	conn := c.conn.Load()
+	return conn != nil && conn.hasUnhandled()
+}
+
+// markHandled says that what discovery has sent so far was handled.
+func (c *DiscoveryClient) markHandled() {
+	if conn := c.conn.Load(); conn != nil {
+		conn.markHandled()
+	}
 }
 
 // StartWatch watches the list from the last revision on, unless it is being watched already. It does not wait. The
@@ -110,6 +141,7 @@
 		c.watching.Store(false)
 		if ctx.Err() == nil {
 			c.config.OnFailure(err)
+			c.markHandled()
 		}
 	}()
 }
@@ -119,6 +151,7 @@
 func (c *DiscoveryClient) KeepWatching(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.config.OnFailure(c.watch(ctx))
+		c.markHandled()
 		select {
 		case <-time.After(watchRetryDelay/2 + c.config.Random.Duration(watchRetryDelay)):
 		case <-ctx.Done():
@@ -151,6 +184,7 @@
 		} else if err != nil {
 			return err
 		}
+		c.markHandled()
 	}
 }
 
--- a/internal/transport/rollout_client.go
+++ b/internal/transport/rollout_client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laurelring/decision"
@@ -27,7 +28,8 @@
 type RolloutClient struct {
 	config         RolloutClientConfig
 	votes          chan decision.Vote
-	addressChanged chan struct{} // holds one element once the address has changed
+	addressChanged chan struct{}                // holds one element once the address has changed
+	conn           atomic.Pointer[observedConn] // the one opened last, nil before the first
 
 	// Only Run's goroutine touches these.
 	lastCallID         int
@@ -118,7 +120,7 @@
 		address := c.currentAddress()
 		conn, err := (&net.Dialer{Timeout: controllerConnectTimeout}).DialContext(ctx, "tcp", address)
 		if err == nil {
-			err = c.serve(ctx, address, conn)
+			err = c.observeAndServe(ctx, address, conn)
 		}
 		if err == nil || c.lastAnsweredListen >= listenID {
 			delay = minReconnectDelay
@@ -132,6 +134,23 @@
 	}
 }
 
+// observeAndServe uses a connection whose unread bytes HasUnhandled sees.
+func (c *RolloutClient) observeAndServe(ctx context.Context, address string, conn net.Conn) error {
+	observed, err := observe(conn)
+	if err != nil {
+		return err
+	}
+	c.conn.Store(observed)
+	defer observed.markHandled() // nothing of it will be: it is closed by then
+	return c.serve(ctx, address, observed)
+}
+
+// HasUnhandled reports whether the controller has sent something that OnStatus has not been given yet. It does not wait.
+func (c *RolloutClient) HasUnhandled() bool {
+	conn := c.conn.Load()
+	return conn != nil && conn.hasUnhandled()
+}
+
 // waitToReconnect waits before the next connection, unless the address changes. Votes fail meanwhile.
 func (c *RolloutClient) waitToReconnect(ctx context.Context, delay time.Duration) {
 	elapsed := time.After(delay)
