--- a/internal/routing/gossip_test.go
+++ b/internal/routing/gossip_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// A view that lay in the socket while the process stood still renewed the lease as if it had just been sent: its age counts
+// from its sending, and the gateway read its clock after the stall. So a list of 1.5 s before was trusted for the whole of
+// the lease. Seen here as a valid lease 5 ms after the stall, by a confirmation that may have been sent as it began.
+func TestViewReadAfterStallDoesNotRenewLease(t *testing.T) {
+	env := newGossipFixture(t)
+	env.router.stall.start(env.now)
+	env.receiveMembers(10, false, true, memberJSON("a", "up", 0))
+	env.router.turn()
+	confirm := func() bool {
+		env.router.DatagramReceived(2, protocol.EncodeGossipView(gossip.View{Revision: 10}))
+		env.router.turn()
+		return env.router.balancer.EndpointListTrusted(env.now)
+	}
+	env.now += 1500 * ms
+	env.router.turn() // notices the stall
+	env.now += 5 * ms
+	if confirm() {
+		t.Error("a view that may have lain unread through the stall renews the lease")
+	}
+	env.now += 50 * ms
+	if !confirm() {
+		t.Error("a view that came after the stall does not renew the lease")
+	}
+}
+
 // A gateway that discovery answers replies to queries, with all ready incarnations where the querier's revision is older.
 // It queries peers itself once its watch has failed.
 func TestRepliesToGossipQueriesOnlyWhileDiscoveryAnswers(t *testing.T) {
