--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -83,6 +83,10 @@
 	lb.catchUpUntil = max(lb.catchUpUntil, now+lb.tick)
 }
 
+// CatchingUp reports whether what arrived during a stall may still be unread: no attempt starts, and nothing that is read now
+// is known to have been sent lately.
+func (lb *Balancer) CatchingUp(now monotonic.Time) bool { return now < lb.catchUpUntil }
+
 // CatchUpPauseOver reports whether the least pause after the latest stall is over.
 func (lb *Balancer) CatchUpPauseOver(now monotonic.Time) bool {
 	return now >= lb.stallNoticedAt+catchUpPause
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -37,6 +37,9 @@
 	if !ok {
 		return false
 	}
+	if r.balancer.CatchingUp(now) && !r.balancer.EndpointListTrusted(now) {
+		return true // it may have lain unread through a long stall: nobody knows its age. A further query brings another
+	}
 	learned := r.list.exchange.ViewReceived(sender, view, now)
 	if learned == nil {
 		return true
