--- a/cmd/gateway/build.go
+++ b/cmd/gateway/build.go
@@ -111,7 +111,12 @@
 	if addresses.Listen == "" {
 		return nil
 	}
-	peers, err := transport.NewPeerSocket(addresses.Listen, addresses.Each, addresses.Broadcast)
+	peers, err := transport.NewPeerSocket(transport.PeerSocketConfig{
+		Listen:    addresses.Listen,
+		Peers:     addresses.Each,
+		Broadcast: addresses.Broadcast,
+		Clock:     g.clock,
+	})
 	if err != nil {
 		return err
 	}
@@ -149,7 +154,7 @@
 
 // buildRouter makes the router. Its drivers use clients that are built after it: it calls them once it runs.
 func (g *gateway) buildRouter(ctx context.Context, verifyBuild func(build int)) (err error) {
-	sendDatagram := func(int, []byte) {}
+	sendDatagram := func(int, []byte, monotonic.Time) {}
 	if g.peers != nil {
 		sendDatagram = g.peers.Send
 	}
@@ -164,7 +169,7 @@
 			},
 			CloseIdleConnections: g.endpoints.CloseIdleTo,
 			SendDatagram:         sendDatagram,
-			CastVote:             func(vote decision.Vote) { g.rollout.Vote(vote) },
+			CastVote:             func(vote decision.Vote, decidedAt monotonic.Time) { g.rollout.Vote(vote, decidedAt) },
 			PollDiscovery:        func() { g.discovery.StartWatch(ctx) },
 			HasUnhandledNotice:   func() bool { return g.discovery.HasUnhandled() || g.rollout.HasUnhandled() },
 			VerifyBuild:          verifyBuild,
@@ -191,6 +196,7 @@
 	g.rollout, err = transport.NewRolloutClient(transport.RolloutClientConfig{
 		Address:      g.configuration.file.RolloutController,
 		VoteTimeout:  g.configuration.settings.VoteTimeout,
+		Clock:        g.clock,
 		Random:       g.random,
 		OnStatus:     g.router.RolloutStatusReceived,
 		OnVoteResult: g.router.VoteAnswered,
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -53,10 +53,12 @@
 	StartAttempt func(AttemptRequest) AttemptHandle
 	// CloseIdleConnections closes the idle connections to an address that is no longer listed.
 	CloseIdleConnections func(address string)
-	// SendDatagram sends a datagram to the gateway of that rank, or to all gateways where the rank is negative.
-	SendDatagram func(rank int, datagram []byte)
-	// CastVote casts a vote at the rollout controller; VoteAnswered is to be called with its outcome.
-	CastVote func(decision.Vote)
+	// SendDatagram sends a datagram to the gateway of that rank, or to all gateways where the rank is negative. It says how
+	// things stood at a moment, by the router's clock, and must not be sent long after it.
+	SendDatagram func(rank int, datagram []byte, decidedAt monotonic.Time)
+	// CastVote casts a vote that was decided at a moment; VoteAnswered is to be called with its outcome. It must not be cast
+	// long after that.
+	CastVote func(vote decision.Vote, decidedAt monotonic.Time)
 	// PollDiscovery watches the endpoint list from here on, unless a watch is already established.
 	PollDiscovery func()
 	// HasUnhandledNotice reports whether discovery or the rollout controller has sent something that has not been posted
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -118,20 +118,20 @@
 func (r *Router) sendGossip(now monotonic.Time) time.Duration {
 	due, wait := r.list.exchange.Tick(now)
 	for _, recipient := range due.QueryRecipients {
-		r.drivers.SendDatagram(recipient, protocol.EncodeGossipQuery(due.Query))
+		r.drivers.SendDatagram(recipient, protocol.EncodeGossipQuery(due.Query), now)
 	}
 	var ready []uint32
 	for _, reply := range due.Replies {
 		if !reply.IncludeReady {
 			view := gossip.View{Revision: reply.Revision, Age: reply.Age}
-			r.drivers.SendDatagram(reply.To, protocol.EncodeGossipView(view))
+			r.drivers.SendDatagram(reply.To, protocol.EncodeGossipView(view), now)
 			continue
 		}
 		if ready == nil {
 			ready = r.endpoints.readyIncarnations()
 		}
 		for _, view := range gossip.SplitView(reply.Revision, reply.Age, ready, protocol.MaxIncarnationsPerView) {
-			r.drivers.SendDatagram(reply.To, protocol.EncodeGossipView(view))
+			r.drivers.SendDatagram(reply.To, protocol.EncodeGossipView(view), now)
 		}
 	}
 	return wait
--- a/internal/routing/rollout.go
+++ b/internal/routing/rollout.go
@@ -78,10 +78,10 @@
 }
 
 // castVotes has votes cast at the rollout controller.
-func (r *Router) castVotes(votes []decision.Vote) {
+func (r *Router) castVotes(votes []decision.Vote, now monotonic.Time) {
 	for _, vote := range votes {
 		slog.Info("vote cast", "build", vote.Build, "stage", vote.Stage, "verdict", vote.Verdict)
-		r.drivers.CastVote(vote)
+		r.drivers.CastVote(vote, now)
 	}
 }
 
@@ -96,15 +96,16 @@
 }
 
 // sendEvidence sends the reports on builds that are due to other gateways.
-func (r *Router) sendEvidence(due *decision.DueWork) {
+func (r *Router) sendEvidence(due *decision.DueWork, now monotonic.Time) {
 	if due.EvidenceReport != nil {
 		datagram := protocol.EncodeEvidenceReport(due.EvidenceReport, r.endpoints.hashOf)
 		for _, recipient := range due.EvidenceRecipients {
-			r.drivers.SendDatagram(recipient, datagram)
+			r.drivers.SendDatagram(recipient, datagram, now)
 		}
 	}
 	if due.VoterReport != nil {
-		r.drivers.SendDatagram(gossip.AllGateways, protocol.EncodeVoterReport(due.VoterReport, r.endpoints.hashOf))
+		datagram := protocol.EncodeVoterReport(due.VoterReport, r.endpoints.hashOf)
+		r.drivers.SendDatagram(gossip.AllGateways, datagram, now)
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -124,8 +124,8 @@
 			r.cancelAttempt(request.attempts[canceled], decision.OutcomeCanceled, now)
 		}
 	}
-	r.sendEvidence(&due)
-	r.castVotes(due.Votes)
+	r.sendEvidence(&due, now)
+	r.castVotes(due.Votes, now)
 	return wait
 }
 
--- a/internal/transport/controller_connection.go
+++ b/internal/transport/controller_connection.go
@@ -29,11 +29,11 @@
 	client   *RolloutClient
 	address  string
 	conn     net.Conn
-	listenID int                  // of the call to listen
-	lastLine time.Time            // when a line arrived last
-	pending  []pendingVote        // in the order in which they were cast
-	votes    <-chan decision.Vote // nil once the address has changed
-	closeAt  time.Time            // set once the address has changed
+	listenID int               // of the call to listen
+	lastLine time.Time         // when a line arrived last
+	pending  []pendingVote     // in the order in which they were cast
+	votes    <-chan queuedVote // nil once the address has changed
+	closeAt  time.Time         // set once the address has changed
 }
 
 // pendingVote is a vote whose answer is awaited.
@@ -131,11 +131,16 @@
 }
 
 // cast writes a vote. One of which not all was written has failed, and the connection is of no further use.
-func (c *controllerConnection) cast(vote decision.Vote) error {
+func (c *controllerConnection) cast(vote queuedVote) error {
 	timeout := c.client.config.VoteTimeout
 	c.client.lastCallID++
-	text := protocol.EncodeVote(c.client.lastCallID, vote)
+	text := protocol.EncodeVote(c.client.lastCallID, vote.Vote)
 	c.conn.SetWriteDeadline(time.Now().Add(timeout))
+	// Nothing but the write follows this look at the time: it may have waited for a connection, or the process stalled.
+	if c.client.config.Clock()-vote.decidedAt > maxVoteAge {
+		c.client.config.OnVoteResult(decision.OutcomeNotSent)
+		return nil
+	}
 	if n, err := c.conn.Write(text); n < len(text) {
 		c.client.config.OnVoteResult(decision.OutcomeConnectFailed)
 		return err
--- a/internal/transport/peer_socket.go
+++ b/internal/transport/peer_socket.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"laurelring/decision/monotonic"
 	"laurelring/internal/protocol"
 )
 
@@ -17,32 +18,45 @@
 	conn      *net.UDPConn
 	peers     []netip.AddrPort // by the gateways' numbers
 	broadcast netip.AddrPort   // reaches all of them; not valid if there is none
+	clock     func() monotonic.Time
 	outgoing  chan datagram
 }
 
 type datagram struct {
-	to      netip.AddrPort
-	payload []byte
+	to        netip.AddrPort
+	payload   []byte
+	decidedAt monotonic.Time
 }
 
-// NewPeerSocket opens a socket at an address. The peers' addresses stand in the order of the gateways' numbers;
-// broadcast is an address that reaches all of them, or empty. All are an IP address and a port.
-func NewPeerSocket(listen string, peers []string, broadcast string) (*PeerSocket, error) {
-	p := &PeerSocket{outgoing: make(chan datagram, maxOutgoingDatagrams)}
-	for _, text := range peers {
+// PeerSocketConfig is what a PeerSocket needs. Addresses are an IP address and a port. All fields but Broadcast are
+// required.
+type PeerSocketConfig struct {
+	Listen    string                // where the socket is opened
+	Peers     []string              // in the order of the gateways' numbers
+	Broadcast string                // reaches all of them; empty if there is none
+	Clock     func() monotonic.Time // the one by which datagrams are decided
+}
+
+// NewPeerSocket opens a socket.
+func NewPeerSocket(config PeerSocketConfig) (*PeerSocket, error) {
+	if config.Clock == nil {
+		return nil, errors.New("peer socket needs a clock")
+	}
+	p := &PeerSocket{clock: config.Clock, outgoing: make(chan datagram, maxOutgoingDatagrams)}
+	for _, text := range config.Peers {
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
 			return nil, err
 		}
 		p.peers = append(p.peers, address)
 	}
-	if broadcast != "" {
+	if config.Broadcast != "" {
 		var err error
-		if p.broadcast, err = netip.ParseAddrPort(broadcast); err != nil {
+		if p.broadcast, err = netip.ParseAddrPort(config.Broadcast); err != nil {
 			return nil, err
 		}
 	}
-	address, err := netip.ParseAddrPort(listen)
+	address, err := netip.ParseAddrPort(config.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -50,9 +64,10 @@
 	return p, err
 }
 
-// Send sends a datagram to the gateway of a number, or to all where the number is below 0. It does not
-// wait. A datagram that is too long, or for a number of no gateway, is dropped.
-func (p *PeerSocket) Send(number int, payload []byte) {
+// Send sends a datagram to the gateway of a number, or to all where the number is below 0. It does not wait. A datagram is
+// dropped that is too long, for a number of no gateway, or not written soon after it was decided: what it says, ages among
+// it, is of that moment.
+func (p *PeerSocket) Send(number int, payload []byte, decidedAt monotonic.Time) {
 	if len(payload) > protocol.MaxDatagramSize || number >= len(p.peers) {
 		return
 	}
@@ -64,7 +79,7 @@
 	}
 	for _, address := range receivers {
 		select {
-		case p.outgoing <- datagram{address, payload}:
+		case p.outgoing <- datagram{address, payload, decidedAt}:
 		default:
 		}
 	}
@@ -104,7 +119,9 @@
 	for {
 		select {
 		case one := <-p.outgoing:
-			p.conn.WriteToUDPAddrPort(one.payload, one.to) // a failed write is a lost datagram
+			if p.clock()-one.decidedAt <= maxDecisionAge {
+				p.conn.WriteToUDPAddrPort(one.payload, one.to) // a failed write is a lost datagram
+			}
 		case <-done:
 			return
 		}
--- a/internal/transport/rollout_client.go
+++ b/internal/transport/rollout_client.go
@@ -9,12 +9,15 @@
 	"time"
 
 	"laurelring/decision"
+	"laurelring/decision/monotonic"
 	"laurelring/internal/seededrand"
 )
 
 const (
 	// maxQueuedVotes wait to be cast; the balancer casts one at a time.
 	maxQueuedVotes = 4
+	// maxVoteAge is how long after it was decided a vote may be cast: gateways look at the evidence anew as often.
+	maxVoteAge = 500 * time.Millisecond
 	// maxInitialDelay bounds the random delay of the first connection, as all gateways of a fleet may start at once.
 	maxInitialDelay = 300 * time.Millisecond
 	// minReconnectDelay is the first delay until the next connection, which doubles with each failure up to
@@ -27,7 +30,7 @@
 // RolloutClient keeps a connection to the rollout controller: it receives rollout statuses and casts votes on it.
 type RolloutClient struct {
 	config         RolloutClientConfig
-	votes          chan decision.Vote
+	votes          chan queuedVote
 	addressChanged chan struct{}                // holds one element once the address has changed
 	conn           atomic.Pointer[observedConn] // the one opened last, nil before the first
 
@@ -42,9 +45,10 @@
 // RolloutClientConfig is what a RolloutClient needs. All fields are required. The callbacks are called one at a
 // time, but for OnVoteResult where Vote finds the queue full.
 type RolloutClientConfig struct {
-	Address     string             // of the rollout controller
-	VoteTimeout time.Duration      // for writing a vote, and again for its answer
-	Random      *seededrand.Source // spreads the reconnects of a fleet
+	Address     string                // of the rollout controller
+	VoteTimeout time.Duration         // for writing a vote, and again for its answer
+	Clock       func() monotonic.Time // the one by which votes are decided
+	Random      *seededrand.Source    // spreads the reconnects of a fleet
 	// OnStatus is called for each rollout status that the controller sends.
 	OnStatus func(decision.RolloutStatus)
 	// OnVoteResult is called once for each vote.
@@ -59,6 +63,8 @@
 	switch {
 	case c.Random == nil:
 		return errors.New("rollout client needs a source of random numbers")
+	case c.Clock == nil:
+		return errors.New("rollout client needs a clock")
 	case c.VoteTimeout < 0:
 		return errors.New("rollout client vote timeout must not be negative")
 	case c.OnStatus == nil || c.OnVoteResult == nil || c.OnConnected == nil || c.OnDisconnected == nil:
@@ -75,7 +81,7 @@
 	}
 	return &RolloutClient{
 		config:         config,
-		votes:          make(chan decision.Vote, maxQueuedVotes),
+		votes:          make(chan queuedVote, maxQueuedVotes),
 		addressChanged: make(chan struct{}, 1),
 		address:        config.Address,
 	}, nil
@@ -102,10 +108,17 @@
 	return c.address
 }
 
-// Vote queues a vote to be cast. It does not wait; a vote for which there is no room has failed.
-func (c *RolloutClient) Vote(vote decision.Vote) {
+// queuedVote is a vote that waits to be cast.
+type queuedVote struct {
+	decision.Vote
+	decidedAt monotonic.Time
+}
+
+// Vote queues a vote to be cast. It does not wait; a vote for which there is no room has failed. One that could not be cast
+// soon after it was decided is not sent: the evidence may speak otherwise by then.
+func (c *RolloutClient) Vote(vote decision.Vote, decidedAt monotonic.Time) {
 	select {
-	case c.votes <- vote:
+	case c.votes <- queuedVote{vote, decidedAt}:
 	default:
 		go c.config.OnVoteResult(decision.OutcomeConnectFailed)
 	}
