--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -67,11 +67,11 @@
 	}
 }
 
-// decisionAge returns how long before a moment the attempt was last decided.
-func (a *Attempt) decisionAge(now monotonic.Time) time.Duration {
+// isTooLate reports whether the attempt's time is over, or it was decided on a state that is past.
+func (a *Attempt) isTooLate(now monotonic.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now - a.decidedAt
+	return now >= a.request.Deadline || now-a.decidedAt > maxDecisionAge
 }
 
 // Cancel finishes an attempt without an outcome. The connection of one that has started is closed before Cancel
--- a/internal/transport/endpoint_connection.go
+++ b/internal/transport/endpoint_connection.go
@@ -54,17 +54,18 @@
 	}
 	c.conn.SetReadDeadline(time.Time{})
 	request := attempt.request.Encode(attempt.request.Deadline - c.pool.clock())
-	// Nothing but the write itself follows this look at the time: the process may be stalled at any point. The moment of the
-	// decision is the router's own reading: one taken here would hide a stall since then.
-	now := c.pool.clock()
-	if now >= attempt.request.Deadline || attempt.decisionAge(now) > maxDecisionAge {
-		attempt.finish(decision.OutcomeNotSent)
-	}
 	if !attempt.markStarted(c) {
 		c.returnUnused()
 		return
 	}
-	written, err := c.conn.Write(request)
+	written, err := c.write(attempt, request)
+	if errors.Is(err, errTooLate) {
+		if attempt.markNotStarted() {
+			attempt.finish(decision.OutcomeNotSent)
+		}
+		c.returnUnused()
+		return
+	}
 	c.mu.Lock()
 	c.writing = false
 	closed, answered := c.closed, c.attempt == nil
@@ -83,6 +84,31 @@
 	}
 }
 
+// errTooLate says that an attempt was decided too long ago, or its time is over, and nothing of it was written.
+var errTooLate = errors.New("too late to be sent")
+
+// write writes an attempt's request and returns how many bytes the kernel took.
+func (c *endpointConnection) write(attempt *Attempt, request []byte) (written int, err error) {
+	for written < len(request) {
+		n := 0
+		waitErr := c.rawConn.Write(func(fd uintptr) (done bool) {
+			// The process may stall at any point, so nothing but the system call follows this last look at the time. The moment
+			// of the decision is the router's own reading: one taken here would hide a stall since then.
+			if written == 0 && attempt.isTooLate(c.pool.clock()) {
+				err = errTooLate
+				return true
+			}
+			n, err = retryInterrupted(func() (int, error) { return unix.Write(int(fd), request[written:]) })
+			return err != unix.EAGAIN
+		})
+		if err = errors.Join(waitErr, err); err != nil {
+			return written, err
+		}
+		written += n
+	}
+	return written, nil
+}
+
 // assign makes an attempt the one whose response is awaited. It returns false if the connection is of no use: it is
 // closed, or it was reused and its end or any byte is waiting to be read.
 func (c *endpointConnection) assign(attempt *Attempt, reused bool) bool {
@@ -152,8 +178,8 @@
 func (c *endpointConnection) receive(room []byte) (n int, attempt *Attempt, err error) {
 	readErr := c.rawConn.Read(func(fd uintptr) bool {
 		c.mu.Lock()
-		n, err = unix.Read(int(fd), room)
-		notReady := err == unix.EAGAIN || err == unix.EINTR
+		n, err = retryInterrupted(func() (int, error) { return unix.Read(int(fd), room) })
+		notReady := err == unix.EAGAIN
 		attempt = c.attempt
 		c.unusable = c.unusable || attempt == nil && !notReady
 		c.mu.Unlock()
--- a/internal/transport/observed_conn.go
+++ b/internal/transport/observed_conn.go
@@ -43,9 +43,9 @@
 	waitErr := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, err = unix.Read(int(fd), p)
+		n, err = retryInterrupted(func() (int, error) { return unix.Read(int(fd), p) })
 		c.unhandled = c.unhandled || n > 0
-		return err != unix.EAGAIN && err != unix.EINTR
+		return err != unix.EAGAIN
 	})
 	switch {
 	case waitErr != nil:
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -17,3 +17,12 @@
 	}
 	return n, err
 }
+
+// retryInterrupted makes a system call until it is not interrupted by a signal.
+func retryInterrupted(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); err != unix.EINTR {
+			return n, err
+		}
+	}
+}
