--- /dev/null
+++ b/internal/routing/ended_test.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"laurelring/decision"
+	"laurelring/internal/protocol"
+)
+
+// Once a router had ended, an event blocked its sender for good: at once where the sender waits for its processing, as with an
+// endpoint list, and else as the queue was full. A request that came then was never answered. A gateway's own process
+// ends soon after its router; a library that is built in is left with its goroutines.
+func TestEventsAfterRouterEndBlockNobody(t *testing.T) {
+	env := newFixture(t, 1)
+	ended, stop := context.WithCancel(context.Background())
+	stop()
+	env.router.Run(ended)
+	client := &testClient{env: env, deadline: env.now + time.Second}
+	for name, post := range map[string]func(){
+		"endpoint list":    func() { env.router.EndpointListReceived(EndpointListUpdate{List: &protocol.EndpointList{}}) },
+		"rollout status":   func() { env.router.RolloutStatusReceived(decision.RolloutStatus{}) },
+		"vote answered":    func() { env.router.VoteAnswered(decision.OutcomeSuccess) },
+		"datagram":         func() { env.router.DatagramReceived(1, nil) },
+		"discovery failed": func() { env.router.DiscoveryFailed(nil) },
+		"response started": func() { env.router.DiscoveryResponseStarted() },
+		"discovery moved":  func() { env.router.DiscoveryMoved() },
+		"build verified":   func() { env.router.BuildVerified(1, true) },
+		"shutdown":         func() { env.router.ShutdownWithin(time.Second) },
+		"disconnected":     func() { env.router.ClientDisconnected(client) },
+		"request": func() {
+			env.router.RequestArrived(protocol.Request{OpType: env.opTypes[0]}, &testClient{env: env, deadline: env.now})
+		},
+	} {
+		if !returns(func() {
+			for range eventQueueSize + 1 {
+				post()
+			}
+		}) {
+			t.Errorf("%s: its sender is blocked", name)
+		}
+	}
+	late := protocol.Request{OpType: env.opTypes[0]}
+	if !returns(func() { env.router.RequestArrived(late, client) }) || client.answers != 1 {
+		t.Errorf("a request after the end has %d answers", client.answers)
+	}
+}
+
+// returns reports whether a function returns within some seconds.
+func returns(function func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		function()
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(2 * time.Second):
+		return false
+	}
+}
