--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -42,10 +42,10 @@
 		Deadline:  attempt.cancelAt,
 		Encode:    request.encode,
 		Connected: func() {
-			r.events <- func(now monotonic.Time) { r.attemptConnected(attempt, now) }
+			r.post(func(now monotonic.Time) { r.attemptConnected(attempt, now) })
 		},
 		Finished: func(response protocol.Response) {
-			r.events <- func(now monotonic.Time) { r.finishAttempt(attempt, response, now) }
+			r.post(func(now monotonic.Time) { r.finishAttempt(attempt, response, now) })
 		},
 	})
 }
--- a/internal/routing/endpointlist.go
+++ b/internal/routing/endpointlist.go
@@ -40,11 +40,19 @@
 }
 
 // EndpointListReceived posts an endpoint list and waits until it is processed. It returns protocol.ErrOlderList where the
-// list is older than the one held.
+// list is older than the one held, and ErrEnded where the router has ended.
 func (r *Router) EndpointListReceived(update EndpointListUpdate) error {
 	processed := make(chan error, 1)
-	r.events <- func(now monotonic.Time) { processed <- r.applyEndpointList(update, now) }
-	return <-processed
+	posted := r.post(func(now monotonic.Time) { processed <- r.applyEndpointList(update, now) })
+	if !posted {
+		return ErrEnded
+	}
+	select {
+	case err := <-processed:
+		return err
+	case <-r.done:
+		return ErrEnded
+	}
 }
 
 // applyEndpointList updates the balancer's endpoints. A list that is older than the one held is refused, as it would undo
@@ -125,7 +133,7 @@
 // DiscoveryFailed posts that discovery could not be asked, or that a watch of the endpoint list broke. A response that
 // began and did not arrive whole may have listed drains.
 func (r *Router) DiscoveryFailed(err error) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		r.list.failures++
 		slog.Warn("endpoint list watch failed", "error", err, "revision", r.list.revision,
 			"failures", r.list.failures, "unconfirmed_for", r.list.unconfirmedFor(now))
@@ -138,22 +146,22 @@
 			r.balancer.UnansweredShareEstimated(r.list.exchange.UnansweredShare(now))
 		}
 		r.balancer.DiscoveryFailed(now)
-	}
+	})
 }
 
 // DiscoveryResponseStarted posts that a response of discovery has begun to arrive.
 func (r *Router) DiscoveryResponseStarted() {
-	r.events <- func(now monotonic.Time) { r.balancer.DiscoveryResponseStarted(now) }
+	r.post(func(now monotonic.Time) { r.balancer.DiscoveryResponseStarted(now) })
 }
 
 // DiscoveryMoved posts that discovery is asked at another address from now on.
 func (r *Router) DiscoveryMoved() {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		r.balancer.DiscoveryMoved(now)
 		if r.list.exchange != nil {
 			r.list.exchange.DiscoveryLost(now)
 		}
-	}
+	})
 }
 
 // logLease logs when the lease on the endpoint list expires, and when it is valid again. Without it only endpoints that
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -19,12 +19,12 @@
 
 // DatagramReceived posts a datagram of the gateway of a rank.
 func (r *Router) DatagramReceived(sender int, datagram []byte) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		if r.list.exchange != nil && r.gossipReceived(sender, datagram, now) {
 			return
 		}
 		r.evidenceReceived(sender, datagram, now)
-	}
+	})
 }
 
 // gossipReceived takes in a peer's query or view of the endpoint list, and reports whether the datagram was one.
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -50,15 +50,18 @@
 }
 
 // RequestArrived posts a request that a client sent. It fails at once where another active request bears the same id, as
-// an endpoint would take the two for one.
+// an endpoint would take the two for one, and is rejected at once where the router has ended.
 func (r *Router) RequestArrived(request protocol.Request, client Client) {
 	arrivedAt := r.clock() // the time in the event queue counts against the deadline
-	r.events <- func(now monotonic.Time) {
+	posted := r.post(func(now monotonic.Time) {
 		if r.requests.byID[request.ID] != nil {
 			client.Fail()
 			return
 		}
 		r.admit(request, client, request.Remaining-(now-arrivedAt), now)
+	})
+	if !posted {
+		client.Reject(0)
 	}
 }
 
@@ -82,7 +85,7 @@
 
 // ClientDisconnected posts that a client has disconnected before its answer.
 func (r *Router) ClientDisconnected(client Client) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		request := r.requests.byClient[client]
 		if request == nil {
 			return
@@ -91,7 +94,7 @@
 		r.balancer.ClientGone(request.state)
 		r.withholdDisallowed(now)
 		r.releaseCompleted(request)
-	}
+	})
 }
 
 // apply carries out the balancer's decision on a request.
--- a/internal/routing/rollout.go
+++ b/internal/routing/rollout.go
@@ -39,11 +39,11 @@
 
 // RolloutStatusReceived posts where the newest build stands.
 func (r *Router) RolloutStatusReceived(status decision.RolloutStatus) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		r.logRolloutStatus(status)
 		r.balancer.RolloutChanged(status, now)
 		r.withholdDisallowed(now)
-	}
+	})
 }
 
 // logRolloutStatus logs a status where its build, stage or phase differs from the latest.
@@ -64,17 +64,12 @@
 	}
 }
 
-// BuildVerified posts whether a build is what was signed. After the router's end it does nothing, as whoever verifies
-// builds is waited for then.
+// BuildVerified posts whether a build is what was signed.
 func (r *Router) BuildVerified(build int, verified bool) {
-	posted := func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		r.balancer.BuildVerified(build, verified)
 		r.withholdDisallowed(now)
-	}
-	select {
-	case r.events <- posted:
-	case <-r.done:
-	}
+	})
 }
 
 // castVotes has votes cast at the rollout controller.
@@ -87,12 +82,12 @@
 
 // VoteAnswered posts the outcome of a vote.
 func (r *Router) VoteAnswered(outcome decision.Outcome) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		if outcome != decision.OutcomeSuccess {
 			slog.Warn("vote not counted", "outcome", outcome)
 		}
 		r.balancer.VoteAnswered(outcome, now)
-	}
+	})
 }
 
 // sendEvidence sends the reports on builds that are due to other gateways.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +19,11 @@
 // event is executed on the router's goroutine, at the moment at which its turn came.
 type event func(now monotonic.Time)
 
+// ErrEnded says that the router has ended and processes no more events.
+var ErrEnded = errors.New("router has ended")
+
 // Router owns a gateway's balancer, its requests and its timers. Its methods post events and may be called by any
-// goroutine; they block while the event queue is full.
+// goroutine; they block while the event queue is full, until the router ends. Events that come after that are dropped.
 type Router struct {
 	balancer         *decision.Balancer
 	utilizationField string
@@ -79,6 +83,21 @@
 	}
 }
 
+// post queues an event and reports whether it has; not once the router has ended, when nobody would take it.
+func (r *Router) post(e event) (posted bool) {
+	select {
+	case <-r.done:
+		return false
+	default:
+	}
+	select {
+	case r.events <- e:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
 // turn processes the events that wait, then the timers, then what the balancer says is due. It returns how long to wait
 // for the next turn if no event comes.
 func (r *Router) turn() time.Duration {
@@ -134,11 +153,11 @@
 
 // ShutdownWithin has every request, in flight or to come, answered within a span from now.
 func (r *Router) ShutdownWithin(span time.Duration) {
-	r.events <- func(now monotonic.Time) {
+	r.post(func(now monotonic.Time) {
 		r.shutdownAt = now + span
 		for request := range r.requests.byDecision { // each is independent of the others: any order will do
 			r.balancer.ShortenDeadline(request, r.shutdownAt)
 		}
 		r.timers.limit(r.shutdownAt)
-	}
+	})
 }
