--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -1,7 +1,10 @@
 package routing
 
 import (
+	"cmp"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"laurelring/decision"
@@ -82,7 +85,7 @@
 type endpointTable struct {
 	byID       map[string]*endpointRecord
 	byDecision map[*decision.Endpoint]*endpointRecord
-	byHash     map[uint32]*decision.Endpoint // where ids collide, the latest
+	byHash     map[uint32]*decision.Endpoint // where ids collide, one of them
 }
 
 func newEndpointTable() endpointTable {
@@ -113,12 +116,31 @@
 		}
 		delete(t.byID, id)
 		delete(t.byDecision, record.endpoint)
-		if t.byHash[record.hash] == record.endpoint {
-			delete(t.byHash, record.hash)
+		t.forgetHash(record)
+	}
+}
+
+// forgetHash has a forgotten endpoint's hash stand for another one that has it too, if there is one.
+func (t *endpointTable) forgetHash(forgotten *endpointRecord) {
+	if t.byHash[forgotten.hash] != forgotten.endpoint {
+		return
+	}
+	delete(t.byHash, forgotten.hash)
+	for _, record := range t.inOrder() {
+		if record.hash == forgotten.hash {
+			t.byHash[record.hash] = record.endpoint
+			return
 		}
 	}
 }
 
+// inOrder returns the records in the order of their ids.
+func (t *endpointTable) inOrder() []*endpointRecord {
+	records := slices.Collect(maps.Values(t.byID))
+	slices.SortFunc(records, func(a, b *endpointRecord) int { return cmp.Compare(a.listed.ID, b.listed.ID) })
+	return records
+}
+
 // hashOf returns what stands for an endpoint in messages between gateways; 0 where it has been forgotten.
 func (t *endpointTable) hashOf(endpoint *decision.Endpoint) uint32 {
 	if record := t.byDecision[endpoint]; record != nil {
