--- a/internal/routing/endpointlist.go
+++ b/internal/routing/endpointlist.go
@@ -108,7 +108,7 @@
 // retainOnly removes the endpoints that a complete list does not name.
 func (r *Router) retainOnly(named map[*decision.Endpoint]bool, now monotonic.Time) {
 	r.balancer.RetainEndpoints(named)
-	for _, record := range r.endpoints.byID {
+	for _, record := range r.endpoints.inOrder() {
 		if named[record.endpoint] || record.removedAt != 0 {
 			continue
 		}
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -110,16 +110,28 @@
 
 // expire forgets the endpoints that were removed long ago.
 func (t *endpointTable) expire(now monotonic.Time) {
-	for id, record := range t.byID {
-		if record.removedAt == 0 || now-record.removedAt <= removedEndpointTTL {
+	for _, record := range t.removedInOrder() {
+		if now-record.removedAt <= removedEndpointTTL {
 			continue
 		}
-		delete(t.byID, id)
+		delete(t.byID, record.listed.ID)
 		delete(t.byDecision, record.endpoint)
 		t.forgetHash(record)
 	}
 }
 
+// removedInOrder returns the records of endpoints that are no longer listed, in the order of their ids.
+func (t *endpointTable) removedInOrder() []*endpointRecord {
+	var removed []*endpointRecord
+	for _, record := range t.byID {
+		if record.removedAt != 0 {
+			removed = append(removed, record)
+		}
+	}
+	sortByID(removed)
+	return removed
+}
+
 // forgetHash has a forgotten endpoint's hash stand for another one that has it too, if there is one.
 func (t *endpointTable) forgetHash(forgotten *endpointRecord) {
 	if t.byHash[forgotten.hash] != forgotten.endpoint {
@@ -134,13 +146,27 @@
 	}
 }
 
-// inOrder returns the records in the order of their ids.
+// anyDeparted reports whether peers know of any endpoint that has begun to drain or has gone.
+func (t *endpointTable) anyDeparted() bool {
+	for _, record := range t.byID {
+		if record.departed {
+			return true
+		}
+	}
+	return false
+}
+
+// inOrder returns the records in the order of their ids, so that the same events lead to the same actions.
 func (t *endpointTable) inOrder() []*endpointRecord {
 	records := slices.Collect(maps.Values(t.byID))
-	slices.SortFunc(records, func(a, b *endpointRecord) int { return cmp.Compare(a.listed.ID, b.listed.ID) })
+	sortByID(records)
 	return records
 }
 
+func sortByID(records []*endpointRecord) {
+	slices.SortFunc(records, func(a, b *endpointRecord) int { return cmp.Compare(a.listed.ID, b.listed.ID) })
+}
+
 // hashOf returns what stands for an endpoint in messages between gateways; 0 where it has been forgotten.
 func (t *endpointTable) hashOf(endpoint *decision.Endpoint) uint32 {
 	if record := t.byDecision[endpoint]; record != nil {
--- a/internal/routing/gossip.go
+++ b/internal/routing/gossip.go
@@ -57,7 +57,7 @@
 func (r *Router) applyPeerView(view *peerView, now monotonic.Time) {
 	r.list.newerView = view
 	departed := 0
-	for _, record := range r.endpoints.byID {
+	for _, record := range r.endpoints.inOrder() {
 		lacking := !view.ready[record.incarnation]
 		if record.removedAt > 0 || record.departed == lacking {
 			continue
@@ -103,7 +103,10 @@
 
 // restoreDeparted has the endpoints that a discarded view lacked go by discovery again.
 func (r *Router) restoreDeparted(now monotonic.Time) {
-	for _, record := range r.endpoints.byID {
+	if !r.endpoints.anyDeparted() {
+		return
+	}
+	for _, record := range r.endpoints.inOrder() {
 		if !record.departed || r.isDeparted(record, now) {
 			continue
 		}
