--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -23,7 +23,9 @@
 	attemptLimits  attemptLimits
 	random         seeded.Source
 
-	startedAt      monotonic.Time // just before the first Tick; 0 before that
+	started bool // Tick has been called
+
+	startedAt      monotonic.Time // just before the first Tick
 	catchUpUntil   monotonic.Time // no attempt starts until then, after the process stalled
 	stallNoticedAt monotonic.Time // when the latest stall that has anything caught up was noticed
 
@@ -144,7 +146,7 @@
 // Tick returns what is due now, and the time until it is to be called again at the latest.
 func (lb *Balancer) Tick(now monotonic.Time) (time.Duration, DueWork) {
 	var due DueWork
-	if lb.startedAt == 0 {
+	if !lb.started {
 		lb.start(now)
 	}
 	due.Requests = lb.dueRequests(now)
@@ -163,7 +165,7 @@
 
 // start sets the first moments of what the balancer does by itself.
 func (lb *Balancer) start(now monotonic.Time) {
-	lb.startedAt = now - time.Millisecond
+	lb.started, lb.startedAt = true, now-time.Millisecond
 	lb.admission.arrivalRate.Start(lb.startedAt)
 	lb.scheduleFirstReport(now)
 	lb.endpointList.polling.Start(lb.gateways, &lb.random, now)
