--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -23,9 +23,7 @@
 	attemptLimits  attemptLimits
 	random         seeded.Source
 
-	started bool // Tick has been called
-
-	startedAt      monotonic.Time // just before the first Tick
+	started        bool           // Tick has been called
 	catchUpUntil   monotonic.Time // no attempt starts until then, after the process stalled
 	stallNoticedAt monotonic.Time // when the latest stall that has anything caught up was noticed
 
@@ -165,8 +163,8 @@
 
 // start sets the first moments of what the balancer does by itself.
 func (lb *Balancer) start(now monotonic.Time) {
-	lb.started, lb.startedAt = true, now-time.Millisecond
-	lb.admission.arrivalRate.Start(lb.startedAt)
+	lb.started = true
+	lb.admission.arrivalRate.Start(now - time.Millisecond)
 	lb.scheduleFirstReport(now)
 	lb.endpointList.polling.Start(lb.gateways, &lb.random, now)
 }
--- a/decision/config.go
+++ b/decision/config.go
@@ -99,6 +99,8 @@
 	switch {
 	case c.Rank < 0:
 		return fmt.Errorf("%w: rank %d is below 0", ErrConfig, c.Rank)
+	case c.Zone < 0:
+		return fmt.Errorf("%w: zone %d is below 0", ErrConfig, c.Zone)
 	case math.IsNaN(c.Exposure.Allowance):
 		return fmt.Errorf("%w: the exposure allowance is not a number", ErrConfig)
 	}
