--- a/internal/protocol/requestscanner.go
+++ b/internal/protocol/requestscanner.go
@@ -126,13 +126,24 @@
 	case end < 3 || data[end-1] != '\r':
 		return requestHeader{}, errFramingLost
 	}
-	number, err := strconv.Atoi(string(data[1 : end-1]))
-	if err != nil || number < 0 {
+	number, ok := parseLength(data[1 : end-1])
+	if !ok {
 		return requestHeader{}, errFramingLost
 	}
 	return requestHeader{kind: data[0], number: number, size: end + 1}, nil
 }
 
+// parseLength parses a length, which has digits alone: no sign, as the number parser of the language would take.
+func parseLength(text []byte) (length int, ok bool) {
+	for _, digit := range text {
+		if digit < '0' || digit > '9' {
+			return 0, false
+		}
+	}
+	length, err := strconv.Atoi(string(text))
+	return length, err == nil
+}
+
 // scanInline returns the size of a request that is typed as a plain line, 0 while it is not complete.
 func scanInline(data []byte) (size int, err error) {
 	end := bytes.IndexByte(data, '\n')
--- a/internal/protocol/response.go
+++ b/internal/protocol/response.go
@@ -147,13 +147,18 @@
 
 // parseBulkStringHeader reads a header such as "$5". The length is -1 for a null.
 func parseBulkStringHeader(line []byte) (length int, ok bool) {
-	if line[0] != '$' || len(line) > 1 && line[1] == '+' {
+	if line[0] != '$' {
 		return 0, false
 	}
-	length, err := strconv.Atoi(string(line[1:]))
-	return length, err == nil && length >= -1
+	if string(line[1:]) == nullLength {
+		return -1, true
+	}
+	return parseLength(line[1:])
 }
 
+// nullLength stands for the length of a null.
+const nullLength = "-1"
+
 // scanResponseLine returns the line that the data begins with, without its end, and its size with it. The size is 0
 // while the line is not complete.
 func scanResponseLine(data []byte) (line []byte, size int, err error) {
