--- /dev/null
+++ b/cmd/gateway/vote_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"laurelring/internal/gatewaytest"
+)
+
+// A gateway alone votes to promote a canary build that serves well: not before its endpoints have run for 3 s, by the
+// controller's call, on the build and stage that the controller named.
+func TestVotesToPromoteGoodBuild(t *testing.T) {
+	gateway := startGatewayWith(t, 1024, strings.Replace(gatewaytest.Settings, `"balancers":2`, `"balancers":1`, 1))
+	stable, canary := gatewaytest.ReadyEndpoint("s-1", gateway.endpoint.Listen()), gatewaytest.ReadyEndpoint("s-2", gateway.endpoint.Listen())
+	canary.Build = 2
+	canary.UpSince = time.Now().UnixMilli()
+	gateway.discovery.Lists <- gatewaytest.EndpointList{Revision: 2, Endpoints: []gatewaytest.EndpointRecord{stable, canary}}.Text()
+	gateway.rollout.SetStatus(`{"release":2,"tranche":1,"mode":"testing","exposure":0.5,"old_ms":0}`)
+	told := time.Now()
+	for len(gateway.rollout.Votes()) == 0 && time.Since(told) < 15*time.Second {
+		gateway.ask(20*time.Millisecond, gatewaytest.ReadRequest("a"))
+	}
+	votes := gateway.rollout.Votes()
+	if len(votes) == 0 {
+		t.Fatal("no vote within 15 s")
+	}
+	if after := time.Since(told); after < 3*time.Second {
+		t.Errorf("the first vote came after %v", after)
+	}
+	for _, part := range []string{`"method":"verdict"`, `"release":2`, `"tranche":1`, `"ruling":"promote"`} {
+		if !strings.Contains(votes[0], part) {
+			t.Errorf("the vote %s lacks %s", votes[0], part)
+		}
+	}
+}
--- a/internal/gatewaytest/rollout.go
+++ b/internal/gatewaytest/rollout.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,11 +15,12 @@
 const heartbeatPeriod = time.Second
 
 // RolloutController is a fake rollout controller: it sends the rollout status to each gateway that listens, at once
-// and at each change, and a heartbeat every second. It reads votes and does not answer them.
+// and at each change, and a heartbeat every second. It keeps votes and does not answer them.
 type RolloutController struct {
 	mu        sync.Mutex
 	status    string
 	listeners []net.Conn
+	votes     []string
 }
 
 // NewRolloutController starts a rollout controller, whose status is ReleasedStatus, and returns its address.
@@ -43,10 +45,20 @@
 	c.send(statusLine(status))
 }
 
+// Votes returns the votes that gateways cast, each as it was written.
+func (c *RolloutController) Votes() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.votes)
+}
+
 func (c *RolloutController) serve(conn net.Conn) {
 	for in := bufio.NewScanner(conn); in.Scan(); {
 		if !strings.Contains(in.Text(), "listen") {
-			continue // a vote
+			c.mu.Lock()
+			c.votes = append(c.votes, in.Text())
+			c.mu.Unlock()
+			continue
 		}
 		c.mu.Lock()
 		fmt.Fprintf(conn, "%s\n%s\n", `{"jsonrpc":"2.0","id":1,"result":true}`, statusLine(c.status))
