--- a/internal/tuf/client.go
+++ b/internal/tuf/client.go
@@ -99,6 +99,13 @@
 // use, also while a fetch runs.
 func (c *Client) SetDraining(mirrors []string) { c.drainingMirrors.Store(&mirrors) }
 
+// applyDraining has the pool go by the mirrors that drain now.
+func (c *Client) applyDraining() {
+	if draining := c.drainingMirrors.Load(); draining != nil {
+		c.mirrors.SetDrainingMirrors(*draining)
+	}
+}
+
 // Usage is what a refresh or a fetch cost. Its JSON form is part of what gatewayctl prints.
 type Usage struct {
 	Bytes    int64         `json:"bytes"`
@@ -212,6 +219,9 @@
 	contents := newTargetContents(target, writer, fetch)
 	d := &download{client: c, fetch: fetch, path: targetsFolder + target.MirrorName, destination: contents, usage: usage}
 	if outcome := d.run(ctx); outcome != mirrorpool.OutcomeCompleted {
+		if d.storageErr != nil {
+			return nil, storeError(path, d.storageErr)
+		}
 		verifyErr := d.verifyErr
 		if verifyErr == nil {
 			verifyErr = contents.blockErr
--- a/internal/tuf/contents.go
+++ b/internal/tuf/contents.go
@@ -70,7 +70,7 @@
 	c.fetch.Restart()
 	c.written = 0
 	c.resetHashes()
-	return c.writer.Reset()
+	return asStorageError(c.writer.Reset())
 }
 
 var errWrongBlock = errors.New("block does not match its hash")
@@ -118,7 +118,7 @@
 	}
 	n, err := c.writer.Write(data)
 	c.written += int64(n)
-	return err
+	return asStorageError(err)
 }
 
 func (c *targetContents) verified() int64 {
--- a/internal/tuf/download.go
+++ b/internal/tuf/download.go
@@ -16,9 +16,10 @@
 
 // destination takes the bytes of a file from the attempts of a download.
 type destination interface {
-	// Writer takes the bytes of an attempt. An error ends the attempt: the contents do not verify.
+	// Writer takes the bytes of an attempt. An error ends the attempt: a *storageError where they could not be kept, else the
+	// contents do not verify.
 	io.Writer
-	// begin prepares for the bytes of an attempt, which start at an offset of the file.
+	// begin prepares for the bytes of an attempt, which start at an offset of the file. Its errors are as of Write.
 	begin(offset int64) error
 	// verified returns how many bytes of the file are verified already, from its start on.
 	verified() int64
@@ -34,6 +35,7 @@
 	destination destination
 	usage       *Usage
 	verifyErr   error // of the last attempt that delivered the file to its end
+	storageErr  error // why the destination could not take the file: no mirror is at fault
 }
 
 // run executes the pool's steps until the fetch has its outcome.
@@ -66,9 +68,7 @@
 
 // nextStep asks the pool for the next step, by the mirrors that drain now.
 func (d *download) nextStep() mirrorpool.Step {
-	if draining := d.client.drainingMirrors.Load(); draining != nil {
-		d.client.mirrors.SetDrainingMirrors(*draining)
-	}
+	d.client.applyDraining()
 	return d.fetch.NextStep(d.client.elapsed())
 }
 
@@ -95,7 +95,7 @@
 		return outcome
 	}
 	if err := d.destination.begin(offset); err != nil {
-		return mirrorpool.OutcomeUnverified
+		return d.refused(err)
 	}
 	return d.receive(ctx, response.Body, watchdog)
 }
@@ -125,7 +125,7 @@
 		d.usage.Bytes += int64(n)
 		if n > 0 {
 			if _, writeErr := d.destination.Write(buffer[:n]); writeErr != nil {
-				return mirrorpool.OutcomeUnverified
+				return d.refused(writeErr)
 			}
 			if d.fetch.IsComplete(d.destination.verified()) {
 				return mirrorpool.OutcomeCompleted // whatever may follow is no part of the file
@@ -145,6 +145,30 @@
 	}
 }
 
+// refused returns how an attempt ended whose bytes the destination did not take: for what they are, or because it could not
+// keep them, as on a full disk. That ends the fetch, as another mirror's would not be kept either.
+func (d *download) refused(err error) mirrorpool.AttemptOutcome {
+	var storage *storageError
+	if errors.As(err, &storage) {
+		d.storageErr = storage.err
+		return mirrorpool.OutcomeCanceled
+	}
+	return mirrorpool.OutcomeUnverified
+}
+
+// storageError says that bytes could not be kept.
+type storageError struct{ err error }
+
+func (e *storageError) Error() string { return e.err.Error() }
+
+// asStorageError wraps an error of the store, if there is one.
+func asStorageError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &storageError{err}
+}
+
 // interrupted returns how an attempt ended that broke off: as given, unless the watchdog canceled it and the pool has a
 // reason for that.
 func (d *download) interrupted(ctx context.Context, outcome mirrorpool.AttemptOutcome) mirrorpool.AttemptOutcome {
