--- a/internal/tuf/status.go
+++ b/internal/tuf/status.go
@@ -23,6 +23,7 @@
 
 // Status returns the state of the metadata, the mirrors and the store, and reports it to the observer.
 func (c *Client) Status() Status {
+	c.applyDraining()
 	status := Status{
 		Trust:       StatusTrusted,
 		LastRefresh: c.verifier.LastRefresh(),
--- a/internal/tuf/storage_test.go
+++ b/internal/tuf/storage_test.go
@@ -44,3 +44,15 @@
 		}
 	}
 }
+
+// A mirror that the operator's file names as draining was shown as used until a fetch had run.
+func TestStatusShowsDrainingMirrorAtOnce(t *testing.T) {
+	f := newFixture(t, true)
+	c := f.newClient(1)
+	c.SetDraining([]string{f.mirrors[1].URL})
+	for i, mirror := range c.Status().Mirrors {
+		if draining := mirror.Name == f.mirrors[1].URL; mirror.Draining != draining {
+			t.Errorf("mirror %d: draining %t, want %t", i, mirror.Draining, draining)
+		}
+	}
+}
