--- /dev/null
+++ b/cmd/gateway/soakaudit_test.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"laurelring/internal/gatewaytest"
+)
+
+// Bounds of the rules, from the protocol page.
+const (
+	answerSlack      = 550 * time.Millisecond // up to half a second late an answer only earns nothing; each limit is 50 ms longer
+	drainSlack       = 50 * time.Millisecond
+	stoppedSlack     = 150 * time.Millisecond // a gateway may be held up between its clock and a write
+	capBinding       = 200 * time.Millisecond // a lower cap binds 150 ms later, each limit 50 ms longer
+	capAttempts      = 2                      // attempts above the cap that pass
+	capShare         = 0.04                   // and the share
+	exposureSpan     = 4 * time.Second        // window_ms of the settings
+	exposureAttempts = 3                      // allowance of the settings
+)
+
+// ledger is what clients, endpoints, discovery and the rollout controller of one soak run saw. The gateway's own word is no
+// part of it.
+type ledger struct {
+	requests []clientRequest
+	attempts []endpointAttempt
+	drains   []drain
+	caps     []capChange
+	lives    []life
+	stops    []span
+}
+
+// clientRequest is a request as its client saw it.
+type clientRequest struct {
+	id       string
+	write    bool // it is not idempotent
+	sentAt   time.Time
+	limit    time.Duration // for which the client waits
+	answer   string        // the first line of the answer; empty for none
+	answerAt time.Time     // or when the client gave up
+	excused  bool          // never taken, or held by a process that was killed without notice
+}
+
+// endpointAttempt is a request as an endpoint got it.
+type endpointAttempt struct {
+	gatewaytest.Arrival
+	endpoint string
+	canary   bool
+}
+
+// drain is an endpoint's draining, as discovery wrote it.
+type drain struct {
+	endpoint string
+	told     []time.Time // when it was written to each life of the gateway that it was written to
+	until    time.Time   // when the endpoint was listed as ready again; zero if it was not
+}
+
+// capChange is an exposure cap as the rollout controller wrote it.
+type capChange struct {
+	at    time.Time
+	share float64
+}
+
+// life is one process of the gateway.
+type life struct{ began, ended time.Time }
+
+// span is a time in which the gateway's process was stopped.
+type span struct{ from, to time.Time }
+
+// audit returns what breaks a rule.
+func (l *ledger) audit() (broken []string) {
+	broken = append(broken, l.auditAnswers()...)
+	broken = append(broken, l.auditEffects()...)
+	broken = append(broken, l.auditDrains()...)
+	return append(broken, l.auditCap()...)
+}
+
+// auditAnswers checks that each request got one final answer in its client's time. While the process is stopped it cannot
+// answer: that time is added.
+func (l *ledger) auditAnswers() (broken []string) {
+	for _, request := range l.requests {
+		waited := request.answerAt.Sub(request.sentAt) - l.stoppedIn(request.sentAt, request.answerAt)
+		switch {
+		case request.excused:
+		case request.answer == "":
+			broken = append(broken, fmt.Sprintf("answer: request %s got none within %v", request.id, waited))
+		case waited > request.limit+answerSlack:
+			broken = append(broken, fmt.Sprintf("answer: request %s was answered after %v of %v", request.id, waited, request.limit))
+		}
+	}
+	return broken
+}
+
+// stoppedIn returns for how long the process was stopped within a time.
+func (l *ledger) stoppedIn(from, to time.Time) (stopped time.Duration) {
+	for _, stop := range l.stops {
+		begin, end := stop.from, stop.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		stopped += max(0, end.Sub(begin))
+	}
+	return stopped
+}
+
+// auditEffects checks that nothing that is not idempotent ran twice, and that what was refused with a promise never ran.
+func (l *ledger) auditEffects() (broken []string) {
+	executions := map[string]int{}
+	for _, attempt := range l.attempts {
+		if attempt.Write && attempt.Executed {
+			executions[attempt.ID]++
+		}
+	}
+	for _, request := range l.requests {
+		if n := executions[request.id]; n > 1 {
+			broken = append(broken, fmt.Sprintf("effect: request %s ran %d times", request.id, n))
+		} else if n > 0 && len(request.answer) >= 5 && request.answer[:5] == "-BUSY" {
+			broken = append(broken, fmt.Sprintf("effect: request %s was refused as harmless and ran", request.id))
+		}
+	}
+	return broken
+}
+
+// auditDrains checks that no attempt came to an endpoint once the grace after its draining was over, counted from when
+// discovery wrote it to the process that sent the attempt.
+func (l *ledger) auditDrains() (broken []string) {
+	for _, drain := range l.drains {
+		for _, told := range drain.told {
+			bound := told.Add(drainGrace + drainSlack + stoppedSlack)
+			for _, attempt := range l.attempts {
+				if attempt.endpoint == drain.endpoint && attempt.At.After(bound) && l.lifeOf(attempt.At) == l.lifeOf(told) &&
+					(drain.until.IsZero() || attempt.At.Before(drain.until)) {
+					broken = append(broken, fmt.Sprintf("drain: request %s came to %s %v after its draining was written",
+						attempt.ID, attempt.endpoint, attempt.At.Sub(told)))
+				}
+			}
+		}
+	}
+	return broken
+}
+
+// lifeOf returns the number of the process that ran at a moment.
+func (l *ledger) lifeOf(at time.Time) int {
+	for i, life := range slices.Backward(l.lives) {
+		if !at.Before(life.began) {
+			return i
+		}
+	}
+	return -1
+}
+
+// auditCap checks that within each window the attempts at the canary build are no larger a share of the requests than the
+// highest cap of the window allows.
+func (l *ledger) auditCap() (broken []string) {
+	for _, last := range l.attempts {
+		if !last.canary {
+			continue
+		}
+		began := last.At.Add(-exposureSpan)
+		if life := l.lives[max(0, l.lifeOf(last.At))]; began.Before(life.began) {
+			began = life.began
+		}
+		attempts, requests := 0, 0
+		for _, attempt := range l.attempts {
+			if attempt.canary && !attempt.At.Before(began) && !attempt.At.After(last.At) {
+				attempts++
+			}
+		}
+		for _, request := range l.requests {
+			if !request.sentAt.Before(began) && !request.sentAt.After(last.At) {
+				requests++
+			}
+		}
+		share := l.highestCap(began, last.At)
+		allowed := exposureAttempts + capAttempts + (share+capShare)*float64(requests)
+		if l.highestCap(last.At.Add(-capBinding-l.stoppedIn(last.At.Add(-time.Second), last.At)), last.At) <= 0 {
+			broken = append(broken, fmt.Sprintf("cap: request %s came to the canary build while the cap was 0", last.ID))
+		} else if float64(attempts) > allowed {
+			broken = append(broken, fmt.Sprintf("cap: %d attempts at the canary build of %d requests, %.0f are allowed",
+				attempts, requests, allowed))
+		}
+	}
+	return broken
+}
+
+// highestCap returns the highest cap that held at any moment of a time.
+func (l *ledger) highestCap(from, to time.Time) (share float64) {
+	for i, change := range l.caps {
+		over := i+1 < len(l.caps) && !l.caps[i+1].at.After(from)
+		if !over && !change.at.After(to) {
+			share = max(share, change.share)
+		}
+	}
+	return share
+}
+
+// A ledger without a fault passes the auditor, and one planted fault of each rule is found as that.
+func TestAuditorFindsPlantedFaults(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	attempt := func(id, endpoint string, arrival int, canary bool) endpointAttempt {
+		return endpointAttempt{endpoint: endpoint, canary: canary,
+			Arrival: gatewaytest.Arrival{At: at(arrival), ID: id, Write: true, Executed: true}}
+	}
+	sound := func() *ledger {
+		return &ledger{
+			requests: []clientRequest{{id: "1", write: true, sentAt: at(0), limit: 300 * time.Millisecond, answer: "$1\r\n", answerAt: at(200)}},
+			attempts: []endpointAttempt{attempt("1", "s-1", 10, false)},
+			drains:   []drain{{endpoint: "s-2", told: []time.Time{at(100)}}},
+			caps:     []capChange{{at(-10), 0.5}, {at(1000), 0}},
+			lives:    []life{{began: at(-20)}},
+		}
+	}
+	if broken := sound().audit(); len(broken) > 0 {
+		t.Errorf("a sound ledger: %v", broken)
+	}
+	for _, test := range []struct {
+		name, want string
+		plant      func(l *ledger)
+	}{
+		{"no answer", "answer", func(l *ledger) { l.requests[0].answer = "" }},
+		{"a late answer", "answer", func(l *ledger) { l.requests[0].answerAt = at(900) }},
+		{"an effect twice", "effect", func(l *ledger) { l.attempts = append(l.attempts, attempt("1", "s-1", 50, false)) }},
+		{"a refusal of what ran", "effect", func(l *ledger) { l.requests[0].answer = "-BUSY 100\r\n" }},
+		{"an attempt after a drain", "drain", func(l *ledger) { l.attempts = append(l.attempts, attempt("2", "s-2", 1400, false)) }},
+		{"an attempt at a cap of 0", "cap", func(l *ledger) { l.attempts = append(l.attempts, attempt("2", "s-3", 1300, true)) }},
+		{"attempts above the cap", "cap", func(l *ledger) {
+			for i := range 7 {
+				l.attempts = append(l.attempts, attempt(fmt.Sprint(10+i), "s-3", 20+i, true))
+			}
+		}},
+	} {
+		planted := sound()
+		test.plant(planted)
+		broken := planted.audit()
+		if len(broken) == 0 || !strings.HasPrefix(broken[0], test.want+":") {
+			t.Errorf("%s: the auditor finds %v", test.name, broken)
+		}
+	}
+	stopped := sound()
+	stopped.requests[0].answerAt = at(900)
+	stopped.stops = []span{{at(250), at(350)}}
+	if broken := stopped.audit(); len(broken) > 0 {
+		t.Errorf("an answer that is late by a stop: %v", broken)
+	}
+}
--- a/internal/gatewaytest/discovery.go
+++ b/internal/gatewaytest/discovery.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -65,32 +66,54 @@
 	partial     bool // half of each newer list is written, and what comes after is refused
 	wrotePartly bool // that has happened
 	refusing    bool // all calls are refused at once
+	written     []Writing
+	server      *http.Server
+}
+
+// Writing is a list that the service has written to a caller.
+type Writing struct {
+	At       time.Time
+	Revision int64
+}
+
+// Written returns all lists that were written, in their order.
+func (d *Discovery) Written() []Writing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.written)
+}
+
+// Listen has the service answer at one more address, which it returns.
+func (d *Discovery) Listen(t *testing.T) string {
+	t.Helper()
+	listener := Listen(t)
+	go d.server.Serve(listener)
+	return listener.Addr().String()
 }
 
 // NewDiscovery starts a discovery service whose calls cost nothing, and returns its address.
 func NewDiscovery(t *testing.T, records []EndpointRecord) (*Discovery, string) {
 	t.Helper()
 	d := &Discovery{records: records, revision: 1, changed: make(chan struct{}), fell: make(chan struct{})}
-	listener := Listen(t)
 	type lastAnswer struct{}
-	server := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+	d.server = &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
 		d.serve(out, in, in.Context().Value(lastAnswer{}).(*atomic.Int64))
 	}), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, lastAnswer{}, &atomic.Int64{})
 	}}
-	go server.Serve(listener)
-	t.Cleanup(func() { server.Close() })
-	return d, listener.Addr().String()
+	t.Cleanup(func() { d.server.Close() })
+	return d, d.Listen(t)
 }
 
-// SetEndpoints changes the list.
-func (d *Discovery) SetEndpoints(records []EndpointRecord) {
+// SetEndpoints changes the list and returns its revision.
+func (d *Discovery) SetEndpoints(records []EndpointRecord) (revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.records = records
 	d.revision++
 	close(d.changed)
 	d.changed = make(chan struct{})
+	return d.revision
 }
 
 // SetDown takes the service down, which ends all watches, or brings it back.
@@ -145,7 +168,7 @@
 	case callerLeft:
 		return
 	}
-	text, partial := d.answer(after)
+	text, revision, partial := d.answer(after)
 	if partial {
 		out.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		io.WriteString(out, text[:len(text)/2])
@@ -155,6 +178,9 @@
 	}
 	lastAnswer.Store(time.Now().UnixNano())
 	io.WriteString(out, text)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.written = append(d.written, Writing{time.Now(), revision})
 }
 
 // watchOutcome is how the wait for a newer list ended.
@@ -188,13 +214,13 @@
 	}
 }
 
-// answer is the list as it is now, and whether only a part of it is to be written.
-func (d *Discovery) answer(after int64) (text string, partial bool) {
+// answer is the list as it is now, with its revision, and whether only a part of it is to be written.
+func (d *Discovery) answer(after int64) (text string, revision int64, partial bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	partial = d.partial && d.revision > after
 	d.wrotePartly = d.wrotePartly || partial
-	return EndpointList{Revision: d.revision, Complete: true, Endpoints: d.records}.Text(), partial
+	return EndpointList{Revision: d.revision, Complete: true, Endpoints: d.records}.Text(), d.revision, partial
 }
 
 // admit waits for a call's turn and reports whether it is served.
--- a/internal/gatewaytest/endpoint.go
+++ b/internal/gatewaytest/endpoint.go
@@ -1,6 +1,7 @@
 package gatewaytest
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,11 +74,39 @@
 	Record   EndpointRecord // as discovery lists it; for one goroutine
 	draining atomic.Bool
 
+	// Behave, if set before the first request, decides how each request is answered.
+	Behave func() Behavior
+
 	mu          sync.Mutex
-	arrivals    []time.Time
+	arrivals    []Arrival
 	connections []redcon.Conn
 }
 
+// Arrival is a request as an endpoint got it: the ledger of what ran.
+type Arrival struct {
+	At       time.Time
+	ID       string
+	Write    bool // it is not idempotent
+	Executed bool // it was not turned away
+}
+
+// Behavior is how an Endpoint answers a request.
+type Behavior struct {
+	Delay   time.Duration
+	Outcome EndpointOutcome
+}
+
+// EndpointOutcome is what becomes of a request at an Endpoint.
+type EndpointOutcome int
+
+// The outcomes of requests at an Endpoint.
+const (
+	Answers   EndpointOutcome = iota
+	Fails                     // it has run and failed
+	TurnsAway                 // it never ran
+	Breaks                    // it has run, and its connection ends
+)
+
 // NewEndpoint starts an endpoint.
 func NewEndpoint(t *testing.T, id string) *Endpoint {
 	t.Helper()
@@ -111,7 +140,7 @@
 	defer e.mu.Unlock()
 	count := 0
 	for _, arrival := range e.arrivals {
-		if arrival.After(moment) {
+		if arrival.At.After(moment) {
 			count++
 		}
 	}
@@ -119,14 +148,35 @@
 }
 
 func (e *Endpoint) serve(conn redcon.Conn, request redcon.Command) {
+	behavior := Behavior{}
+	if e.Behave != nil {
+		behavior = e.Behave()
+	}
+	if e.draining.Load() {
+		behavior.Outcome = TurnsAway
+	}
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, time.Now())
+	e.arrivals = append(e.arrivals, Arrival{At: time.Now(), ID: string(request.Args[2]), Write: string(request.Args[0]) == "API.WRITE",
+		Executed: behavior.Outcome != TurnsAway})
 	e.mu.Unlock()
-	if e.draining.Load() {
+	time.Sleep(behavior.Delay)
+	switch behavior.Outcome {
+	case Answers:
+		writeAnswer(conn, request.Args[1], "utilization=0.2")
+	case Fails:
+		conn.WriteError("ERR failed")
+	case TurnsAway:
 		conn.WriteError("BUSY")
-		return
+	case Breaks:
+		conn.Close()
 	}
-	writeAnswer(conn, request.Args[1], "utilization=0.2")
+}
+
+// Arrivals returns the requests that arrived, in their order.
+func (e *Endpoint) Arrivals() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
 }
 
 // ArrivedAfter counts the requests that arrived at any of the endpoints after a moment.
