--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -102,10 +103,17 @@
 	return true
 }
 
-// ConnectedAt returns when the attempt's connection was established. It may be called once the attempt was answered.
+// neverConnected is later than any moment: a connection of then proves nothing of an endpoint.
+const neverConnected = monotonic.Time(math.MaxInt64)
+
+// ConnectedAt returns when the attempt's connection was established, or neverConnected where nothing of the attempt has gone
+// out: an endpoint may send a response before that.
 func (a *Attempt) ConnectedAt() monotonic.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.connection == nil {
+		return neverConnected
+	}
 	return a.connection.openedAt
 }
 
--- a/internal/transport/endpoint_pool_test.go
+++ b/internal/transport/endpoint_pool_test.go
@@ -348,3 +348,12 @@
 	io.WriteString(conn, okResponse)
 	awaitResult(t, results)
 }
+
+// An endpoint may send a response before anything of the attempt has gone out. The attempt has no connection then, which must
+// neither end the process nor prove that the endpoint takes requests.
+func TestAttemptThatWasNotSentProvesNothing(t *testing.T) {
+	attempt := newTextAttempt("ask\n", testClock(), make(chan attemptResult, 1))
+	if at := attempt.ConnectedAt(); at <= testClock() {
+		t.Errorf("connected at %v", at)
+	}
+}
