--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -11,10 +12,27 @@
 	"laurelring/internal/protocol"
 )
 
+// streamConn is what a client's connection needs of its socket.
+type streamConn interface {
+	net.Conn
+	syscall.Conn
+	SetLinger(seconds int) error
+}
+
+// clientInput says what of a client's bytes has been taken off the socket and not been counted as a request.
+type clientInput uint8
+
+const (
+	inputEmpty    clientInput = iota // nothing
+	inputUnparsed                    // bytes that may hold a whole request
+	inputPartial                     // an incomplete request
+)
+
 // clientConnection is one connection of a client. It ends in Close, which alone gives its place back.
 type clientConnection struct {
-	net.Conn
-	server *ClientServer
+	streamConn
+	rawConn syscall.RawConn
+	server  *ClientServer
 
 	// Only the goroutine that reads the connection touches these.
 	buffer       *protocol.Buffer
@@ -23,17 +41,29 @@
 	partialSince time.Time // since when an incomplete request has been in the buffer; zero if there is none
 	framingLost  bool      // no further request can be read
 
+	// mu is held while bytes are read, too: a connection is either read or closed as idle, and what was read is counted in
+	// input before closing it is decided.
 	mu            sync.Mutex
-	pending       int       // requests read and not yet answered
-	hasRequested  bool      // a request has been read
-	partial       bool      // an incomplete request is in the buffer
-	lastActive    time.Time // when it was accepted or a response was written last
+	pending       int  // requests read and not yet answered
+	hasRequested  bool // a request has been read
+	input         clientInput
+	lastActive    time.Time // when it got its place or a response was written last
 	closing       bool      // no further request is accepted
 	hasDescriptor bool      // it is within the descriptor limit, not in overflow
 	releasePlace  func()    // gives back its descriptor, or its place in overflow
 	closeOnce     sync.Once
 }
 
+// newClientConnection returns the connection of a client, which has no place yet.
+func newClientConnection(conn streamConn, server *ClientServer) (*clientConnection, error) {
+	rawConn, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConnection{streamConn: conn, rawConn: rawConn, server: server,
+		buffer: protocol.NewBuffer(protocol.MaxRequestSize), lastActive: time.Now()}, nil
+}
+
 // connectionScope says which connections may be closed.
 type connectionScope uint8
 
@@ -68,10 +98,13 @@
 func (c *clientConnection) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.partial = false
 	if c.closing {
 		return false
 	}
+	c.input = inputEmpty
+	if len(c.buffer.Bytes()) > 0 {
+		c.input = inputUnparsed
+	}
 	c.pending++
 	c.hasRequested = true
 	return true
@@ -115,14 +148,17 @@
 }
 
 // closeIfIdle closes the connection if it is within the scope, has no request waiting and has been idle for at least
-// minIdle. One on which bytes wait to be read stays, and one on which a request is arriving, unless it would be the first
-// one and descriptors are short.
+// minIdle. One on which bytes wait to be read or have just been read stays, and one on which a request is arriving, unless
+// it would be the first one and descriptors are short.
 func (c *clientConnection) closeIfIdle(minIdle time.Duration, scope connectionScope) bool {
 	draining := c.server.isDraining()
 	c.mu.Lock()
 	idle := !c.closing && c.pending == 0 && scope.includes(c.hasDescriptor) && time.Since(c.lastActive) >= minIdle
-	if idle && (c.hasRequested || draining) {
-		idle = !c.partial
+	switch c.input {
+	case inputUnparsed:
+		idle = false
+	case inputPartial:
+		idle = idle && !c.hasRequested && !draining
 	}
 	// A first request, too, may lie in the socket until the session has its turn. Its client would send it again once only.
 	idle = idle && !c.hasUnreadBytes()
@@ -143,15 +179,7 @@
 
 // hasUnreadBytes reports whether bytes of the client wait to be read.
 func (c *clientConnection) hasUnreadBytes() bool {
-	conn, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n, err := peekByte(raw)
+	n, err := peekByte(c.rawConn)
 	return err == nil && n > 0
 }
 
@@ -159,21 +187,13 @@
 // client that a request that it sent meanwhile was not read, so that it may send it again; an orderly end behind a
 // complete request would not. But no reset may overtake a response.
 func (c *clientConnection) resetOnClose() {
-	conn, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return
-	}
 	acknowledged := false
-	raw.Control(func(fd uintptr) {
+	c.rawConn.Control(func(fd uintptr) {
 		unsent, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
 		acknowledged = err == nil && unsent == 0
 	})
 	if acknowledged {
-		conn.SetLinger(0)
+		c.SetLinger(0)
 	}
 }
 
@@ -181,7 +201,7 @@
 func (c *clientConnection) Close() error {
 	c.closeOnce.Do(func() {
 		c.server.remove(c)
-		c.Conn.Close()
+		c.streamConn.Close()
 		c.mu.Lock()
 		c.closing = true
 		c.releasePlace()
--- /dev/null
+++ b/internal/transport/client_idle_close_test.go
@@ -0,0 +1,177 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"laurelring/internal/protocol"
+)
+
+const (
+	responseWait = 5 * time.Second // for which a test's client waits
+	idleBefore   = time.Second     // long enough to be closed by others, too short for the connection's own limit
+)
+
+// haltingConn halts its reader once: after bytes have left the socket, before the reader gets them.
+type haltingConn struct {
+	*net.TCPConn
+	once   sync.Once
+	taken  chan struct{} // closed when bytes have left the socket
+	resume chan struct{} // closed by the test
+}
+
+func newHaltingConn(conn *net.TCPConn) *haltingConn {
+	return &haltingConn{TCPConn: conn, taken: make(chan struct{}), resume: make(chan struct{})}
+}
+
+func (c *haltingConn) halt() {
+	c.once.Do(func() {
+		close(c.taken)
+		<-c.resume
+	})
+}
+
+// Read reads as the connection itself does, and halts.
+func (c *haltingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.halt()
+	}
+	return n, err
+}
+
+// SyscallConn returns a raw connection that halts as Read does.
+func (c *haltingConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return haltingRawConn{raw, c.halt}, err
+}
+
+type haltingRawConn struct {
+	syscall.RawConn
+	halt func()
+}
+
+// Read reads as the raw connection does, and halts unless that failed.
+func (r haltingRawConn) Read(read func(fd uintptr) bool) error {
+	err := r.RawConn.Read(read)
+	if err == nil {
+		r.halt()
+	}
+	return err
+}
+
+// idleClosers are the ways in which a server closes connections that are idle.
+var idleClosers = []struct {
+	name  string
+	scope connectionScope
+	close func(s *ClientServer, c *clientConnection)
+}{
+	{"drain", anyConnection, func(s *ClientServer, _ *clientConnection) { s.Drain() }},
+	{"room for another connection", withinLimit, func(s *ClientServer, _ *clientConnection) { s.closeIdle() }},
+	{"room in overflow", overflow, func(s *ClientServer, _ *clientConnection) { s.closeIdleInOverflow() }},
+	{"beyond the share of idle ones", withinLimit, func(s *ClientServer, _ *clientConnection) {
+		s.maxIdle = 0
+		s.closeExcessIdle()
+	}},
+	{"idle for a while in overflow", overflow, func(_ *ClientServer, c *clientConnection) {
+		c.closeIfIdleLater()
+		time.Sleep(nextRequestWindow + 50*time.Millisecond)
+	}},
+}
+
+// forEachIdleCloser runs a test of each way to close connections, for one within the descriptor limit and one beyond it.
+func forEachIdleCloser(t *testing.T, test func(t *testing.T, hasDescriptor bool, closeIdle func(*ClientServer, *clientConnection))) {
+	for _, closer := range idleClosers {
+		for _, hasDescriptor := range []bool{true, false} {
+			if closer.scope.includes(hasDescriptor) {
+				t.Run(fmt.Sprintf("%s, descriptor %t", closer.name, hasDescriptor), func(t *testing.T) {
+					t.Parallel()
+					test(t, hasDescriptor, closer.close)
+				})
+			}
+		}
+	}
+}
+
+// expectPong reads one response and the test fails unless it is that to a PING.
+func expectPong(t *testing.T, client net.Conn, responses *bufio.Reader) {
+	t.Helper()
+	client.SetReadDeadline(time.Now().Add(responseWait))
+	if line, err := responses.ReadString('\n'); line != "+PONG\r\n" {
+		t.Errorf("the client got %q, %v", line, err)
+	}
+}
+
+// A request that had been read was lost: its connection was closed as idle by another goroutine after its bytes had left the
+// socket and before they were counted as a request. With the reader halted there, each way to close an idle connection
+// ended it, and the client read the end of the stream.
+func TestKeepsConnectionWhoseBytesHaveLeftTheSocket(t *testing.T) {
+	const request = "PING\r\n"
+	for _, test := range []struct {
+		name string
+		used bool // the connection has sent a request before
+		sent int  // bytes that are read before the connection would be closed
+	}{
+		{"a whole request", true, len(request)},
+		{"half a request", true, 3},
+		{"a first request", false, len(request)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			forEachIdleCloser(t, func(t *testing.T, hasDescriptor bool, closeIdle func(*ClientServer, *clientConnection)) {
+				server := newTestServer(t, 4, nil, nil)
+				var halting *haltingConn
+				c, client := connectIdleThrough(t, server, hasDescriptor, func(accepted *net.TCPConn) streamConn {
+					halting = newHaltingConn(accepted)
+					return halting
+				})
+				c.hasRequested, c.lastActive = test.used, time.Now().Add(-idleBefore)
+				go newClientSession(c).readRequests()
+				io.WriteString(client, request[:test.sent])
+				select {
+				case <-halting.taken:
+				case <-time.After(responseWait):
+					t.Fatal("the connection is not read")
+				}
+				closeIdle(server, c)
+				close(halting.resume)
+				io.WriteString(client, request[test.sent:])
+				expectPong(t, client, bufio.NewReader(client))
+			})
+		})
+	}
+}
+
+// The same for a request that came with the one before: it has been read, and waits in the buffer while that one is passed on.
+func TestKeepsConnectionWithPipelinedRequest(t *testing.T) {
+	const request = "*4\r\n$8\r\nAPI.READ\r\n$1\r\nk\r\n$1\r\n1\r\n$11\r\nc=look,d=99\r\n"
+	forEachIdleCloser(t, func(t *testing.T, hasDescriptor bool, closeIdle func(*ClientServer, *clientConnection)) {
+		var server *ClientServer
+		var c *clientConnection
+		server = newTestServer(t, 4, func(_ protocol.Request, response *PendingResponse) {
+			response.Fail()
+			for answered := false; !answered; time.Sleep(time.Millisecond) {
+				c.mu.Lock()
+				answered = c.pending == 0
+				c.lastActive = time.Now().Add(-idleBefore)
+				c.mu.Unlock()
+			}
+			closeIdle(server, c)
+		}, nil)
+		c, client := connectIdle(t, server, hasDescriptor)
+		c.lastActive = time.Now()
+		io.WriteString(client, request+"PING\r\n")
+		go newClientSession(c).readRequests()
+		client.SetReadDeadline(time.Now().Add(responseWait))
+		responses := bufio.NewReader(client)
+		if line, err := responses.ReadString('\n'); err != nil || line[0] != '-' {
+			t.Errorf("the first request got %q, %v", line, err)
+		}
+		expectPong(t, client, responses)
+	})
+}
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -4,8 +4,6 @@
 	"errors"
 	"net"
 	"time"
-
-	"laurelring/internal/protocol"
 )
 
 // budgetedListener is the listener that redcon accepts from: its connections count against the descriptor budget.
@@ -26,14 +24,25 @@
 			time.Sleep(shortageRetryDelay)
 			continue
 		}
-		return l.server.register(conn), nil
+		c, err := l.server.register(conn)
+		if err != nil {
+			conn.Close()
+			continue
+		}
+		return c, nil
 	}
 }
 
 // register enters an accepted connection into the table, with a descriptor or in overflow.
-func (s *ClientServer) register(conn net.Conn) *clientConnection {
-	c := &clientConnection{Conn: conn, server: s, buffer: protocol.NewBuffer(protocol.MaxRequestSize),
-		lastActive: time.Now()}
+func (s *ClientServer) register(conn net.Conn) (*clientConnection, error) {
+	stream, ok := conn.(streamConn)
+	if !ok {
+		return nil, errors.New("not a stream connection of the system")
+	}
+	c, err := newClientConnection(stream, s)
+	if err != nil {
+		return nil, err
+	}
 	if c.hasDescriptor = s.acquireForNewConnection(); c.hasDescriptor {
 		c.releasePlace = s.quota.release
 	} else {
@@ -47,7 +56,7 @@
 	if draining || !c.hasDescriptor {
 		c.closeIfIdleLater()
 	}
-	return c
+	return c, nil
 }
 
 // acquireForNewConnection takes a descriptor. Where there is none it tries again for a while, as long as some
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -94,15 +95,41 @@
 	return command, nil
 }
 
-// receive reads what has arrived into the buffer, or waits until the read deadline. Neither a timeout nor an error
-// that comes with some bytes is an error: the next call meets the latter again.
+// receive reads what has arrived into the buffer, or waits until the read deadline, which is no error.
 func (c *clientConnection) receive() error {
-	n, err := c.Conn.Read(c.buffer.Space())
-	c.buffer.Commit(n)
-	if n > 0 || isTimeout(err) {
+	room, n := c.buffer.Space(), 0
+	var err error
+	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
+		n, err = c.readSocket(fd, room)
+		return err != unix.EAGAIN
+	})
+	switch {
+	case isTimeout(waitErr):
 		return nil
+	case waitErr != nil:
+		return waitErr
+	case err != nil:
+		return err
+	case n == 0:
+		return io.EOF
 	}
-	return err
+	c.buffer.Commit(n)
+	return nil
+}
+
+// readSocket takes bytes off the socket under the lock under which closing is decided. Once the connection is being closed
+// none are taken: the reset that ends it then tells the client that they were not read.
+func (c *clientConnection) readSocket(fd uintptr, room []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	n, err = retryInterrupted(func() (int, error) { return unix.Read(int(fd), room) })
+	if n > 0 {
+		c.input = inputUnparsed
+	}
+	return n, err
 }
 
 // setReadDeadline sets until when the next bytes are waited for: an incomplete request is complete after
@@ -114,6 +141,7 @@
 		return c.setPartialDeadline(now)
 	}
 	c.mu.Lock()
+	c.input = inputEmpty
 	timeout, idleSince := idleTimeout, c.lastActive
 	if !c.hasRequested {
 		timeout = requestTimeout
@@ -135,10 +163,10 @@
 func (c *clientConnection) setPartialDeadline(now time.Time) bool {
 	if c.partialSince.IsZero() {
 		c.partialSince = now
-		c.mu.Lock()
-		c.partial = true
-		c.mu.Unlock()
 	}
+	c.mu.Lock()
+	c.input = inputPartial
+	c.mu.Unlock()
 	deadline := c.partialSince.Add(requestTimeout)
 	c.SetReadDeadline(deadline)
 	return now.Before(deadline)
@@ -148,7 +176,7 @@
 // connection, rather than the gateway or nobody.
 func (c *clientConnection) awaitDisconnect() bool {
 	c.SetReadDeadline(time.Time{})
-	n, err := io.CopyN(io.Discard, c.Conn, maxDiscardedBytes)
+	n, err := io.CopyN(io.Discard, c.streamConn, maxDiscardedBytes)
 	return n < maxDiscardedBytes && !errors.Is(err, net.ErrClosed)
 }
 
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -172,6 +172,6 @@
 		return false
 	}
 	s.connection.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	_, err := response.payload.WriteTo(s.connection.Conn)
+	_, err := response.payload.WriteTo(s.connection.streamConn)
 	return err == nil
 }
