--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -38,6 +38,7 @@
 	buffer       *protocol.Buffer
 	scanner      protocol.RequestScanner
 	handedOver   bool      // redcon has read handoverCommand
+	receivedAt   time.Time // when bytes were read last
 	partialSince time.Time // since when an incomplete request has been in the buffer; zero if there is none
 	framingLost  bool      // no further request can be read
 
@@ -81,15 +82,55 @@
 	return s&overflow != 0
 }
 
-// ensureDescriptor reports whether the connection holds a descriptor of the budget. One in overflow takes one if
-// one has become free.
-func (c *clientConnection) ensureDescriptor() bool {
+// awaitDescriptor reports whether the connection holds a descriptor of the budget. One in overflow takes one if one is free
+// or becomes free soon, as connections within the limit that have not sent anything may make room; it does not wait while
+// others wait to be accepted.
+func (c *clientConnection) awaitDescriptor() bool {
+	s := c.server
+	if c.takeDescriptor() {
+		return true
+	}
+	retry, limit := time.NewTicker(shortageRetryDelay), time.NewTimer(minIdleBeforeReclaim)
+	defer retry.Stop()
+	defer limit.Stop()
+	for waiting := true; waiting && !s.shortage.ongoing() && s.hasUnusedConnection(); {
+		select {
+		case <-s.shortage.held():
+		case <-limit.C:
+			waiting = false
+		case <-retry.C:
+		}
+		if c.takeDescriptor() {
+			return true
+		}
+	}
+	return false
+}
+
+// takeDescriptor reports whether the connection holds a descriptor of the budget. One in overflow takes one if one is free or
+// an idle connection can be closed for it.
+func (c *clientConnection) takeDescriptor() bool {
+	if c.holdsDescriptor() {
+		return true
+	}
+	quota := c.server.quota
+	if !quota.acquire() { // not under the lock of a connection: it may close others
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.hasDescriptor && !c.closing && c.server.quota.tryAcquire() {
-		c.releasePlace()
-		c.hasDescriptor, c.releasePlace = true, c.server.quota.release
+	if c.closing {
+		quota.release()
+		return false
 	}
+	c.releasePlace()
+	c.hasDescriptor, c.releasePlace = true, quota.release
+	return true
+}
+
+func (c *clientConnection) holdsDescriptor() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.hasDescriptor
 }
 
@@ -117,9 +158,14 @@
 	c.lastActive = time.Now()
 	hasDescriptor := c.hasDescriptor
 	c.mu.Unlock()
-	if c.server.markActive(c) {
+	draining := c.server.markActive(c)
+	switch {
+	case draining:
 		c.closeIfIdle(0, anyConnection)
-	} else if !hasDescriptor {
+	case hasDescriptor:
+	case c.server.shortage.ongoing(): // its place is wanted
+		c.closeIfIdle(0, overflow)
+	default:
 		c.closeIfIdleLater()
 	}
 }
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -43,11 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.hasDescriptor = s.acquireForNewConnection(); c.hasDescriptor {
-		c.releasePlace = s.quota.release
-	} else {
-		s.placeInOverflow(c)
-	}
+	s.awaitPlace(c)
+	c.lastActive = time.Now()
 	s.mu.Lock()
 	s.connections = append(s.connections, c)
 	draining := s.draining
@@ -59,45 +56,54 @@
 	return c, nil
 }
 
-// acquireForNewConnection takes a descriptor. Where there is none it tries again for a while, as long as some
-// connections have not sent a request yet and may make room.
-func (s *ClientServer) acquireForNewConnection() bool {
-	acquired := s.quota.acquire()
-	started := time.Now()
-	for !acquired && s.hasUnusedConnection() && time.Since(started) < minIdleBeforeReclaim {
-		time.Sleep(shortageRetryDelay)
-		acquired = s.quota.acquire()
+// awaitPlace gives a new connection a descriptor, or a place in overflow. All connections that are yet to be accepted wait
+// behind it, so it waits for none that has sent something: only while each place in overflow is held by a connection whose
+// response is on its way, or by one that has sent nothing and still has its time for that.
+func (s *ClientServer) awaitPlace(c *clientConnection) {
+	if s.takePlace(c) {
+		return
 	}
-	return acquired
-}
-
-// placeInOverflow waits for a place beyond the descriptor limit. Where none is left it closes idle connections there.
-func (s *ClientServer) placeInOverflow(c *clientConnection) {
-	c.releasePlace = func() { <-s.overflow }
+	s.shortage.begin()
+	defer s.shortage.end()
 	retry := time.NewTicker(shortageRetryDelay)
 	defer retry.Stop()
-	for {
+	for !s.takePlace(c) {
 		select {
 		case s.overflow <- struct{}{}:
+			c.releasePlace = s.releaseOverflow
 			return
-		default:
-		}
-		if s.closeIdleInOverflow() {
-			continue
+		case <-retry.C:
 		}
+	}
+}
+
+// takePlace gives a new connection a place if there is one, or an idle connection can be closed for it.
+func (s *ClientServer) takePlace(c *clientConnection) bool {
+	if s.quota.acquire() {
+		c.hasDescriptor, c.releasePlace = true, s.quota.release
+		return true
+	}
+	for {
 		select {
 		case s.overflow <- struct{}{}:
-			return
-		case <-retry.C:
+			c.releasePlace = s.releaseOverflow
+			return true
+		default:
+		}
+		if !s.closeIdleInOverflow() {
+			return false
 		}
 	}
 }
 
+func (s *ClientServer) releaseOverflow() { <-s.overflow }
+
 // closeIdleInOverflow closes a connection beyond the descriptor limit that has had its answers, or that has not sent a
 // request for a while, and reports whether there was one. The first request of a new one may still be on its way.
 func (s *ClientServer) closeIdleInOverflow() bool {
+	firstRequestTime := s.shortage.firstRequestTime()
 	for _, other := range s.snapshot() {
-		minIdle := minIdleBeforeReclaim
+		minIdle := firstRequestTime
 		if other.usedBefore() {
 			minIdle = 0
 		}
--- /dev/null
+++ b/internal/transport/client_listener_test.go
@@ -0,0 +1,131 @@
+package transport
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"laurelring/internal/protocol"
+)
+
+// fillDescriptors has connections hold all descriptors of a server that has as many as given for clients.
+func fillDescriptors(t *testing.T, server *ClientServer, descriptors int) (all []*clientConnection) {
+	t.Helper()
+	for range descriptors {
+		c, _ := connectIdle(t, server, true)
+		all = append(all, c)
+	}
+	if server.quota.tryAcquire() {
+		t.Fatal("a descriptor is left")
+	}
+	return all
+}
+
+// A crowd's connections were accepted one each 5 ms or more: for each the accept loop slept while some connection within the
+// limit had not sent its first request, and all others waited behind it. Beside load the last of 300 was accepted 1.6 to
+// 1.9 s after the first, and its request was answered half a second too late.
+func TestAcceptingDoesNotWaitForFirstRequests(t *testing.T) {
+	server := newTestServer(t, 4, nil, nil)
+	for _, c := range fillDescriptors(t, server, 2) {
+		c.hasRequested, c.lastActive = false, time.Now()
+	}
+	next := &clientConnection{server: server}
+	server.awaitPlace(next)
+	if !server.shortage.lastEnd.IsZero() {
+		t.Error("accepting waited though a place in overflow was free")
+	}
+	next.releasePlace()
+}
+
+// While all places in overflow are taken, the next connection gets the first one whose response is written.
+func TestAcceptingContinuesAsResponseIsWritten(t *testing.T) {
+	server := newTestServer(t, 4, nil, nil)
+	for _, c := range fillDescriptors(t, server, 2) {
+		c.pending = 1
+	}
+	var waiting []*clientConnection
+	for range maxOverflowClients {
+		c, _ := connectIdle(t, server, false)
+		c.pending = 1
+		waiting = append(waiting, c)
+	}
+	accepted := make(chan struct{})
+	go func() {
+		server.awaitPlace(&clientConnection{server: server})
+		close(accepted)
+	}()
+	select {
+	case <-accepted:
+		t.Fatal("accepted without a place")
+	case <-server.shortage.held():
+	}
+	waiting[3].finishRequest()
+	select {
+	case <-accepted:
+	case <-time.After(responseWait):
+		t.Fatal("not accepted though a response was written")
+	}
+	if !waiting[3].closing || waiting[2].closing {
+		t.Error("closed another connection than the one that had its response")
+	}
+}
+
+// Connections that send nothing hold up those that are yet to be accepted for a bounded time only: in a long shortage they
+// have 5 ms in place of 50 ms.
+func TestLongShortageShortensTimeForFirstRequest(t *testing.T) {
+	server := newTestServer(t, 4, nil, nil)
+	silent, _ := connectIdle(t, server, false)
+	silent.hasRequested, silent.lastActive = false, time.Now().Add(-minIdleBeforeReclaim/2)
+	server.shortage.begin()
+	if server.closeIdleInOverflow() {
+		t.Error("closed within its time")
+	}
+	server.shortage.began = time.Now().Add(-longShortage - time.Millisecond)
+	if !server.closeIdleInOverflow() {
+		t.Error("not closed in a long shortage")
+	}
+	server.shortage.end()
+	if got := server.shortage.firstRequestTime(); got != minIdleBeforeReclaim {
+		t.Errorf("%v for a first request after the shortage", got)
+	}
+}
+
+// A request beyond the descriptor limit waits for a descriptor where one will be free soon, unless others wait to be accepted.
+func TestRequestInOverflowAwaitsDescriptor(t *testing.T) {
+	const request = "*4\r\n$8\r\nAPI.READ\r\n$1\r\nk\r\n$1\r\n1\r\n$14\r\nc=look,d=20000\r\n"
+	for _, crowded := range []bool{false, true} {
+		requests := make(chan protocol.Request, 1)
+		server := newTestServer(t, 4, func(request protocol.Request, _ *PendingResponse) { requests <- request }, nil)
+		within := fillDescriptors(t, server, 2)
+		unused, busy := within[0], within[1]
+		busy.pending = 1
+		unused.hasRequested, unused.lastActive = false, time.Now().Add(-minIdleBeforeReclaim/2)
+		if crowded {
+			unused.lastActive = time.Now().Add(time.Minute) // it is not closed for this one
+			server.shortage.begin()
+			server.shortage.end()
+		}
+		c, client := connectIdle(t, server, false)
+		c.lastActive = time.Now()
+		go newClientSession(c).readRequests()
+		io.WriteString(client, request)
+		if got := <-requests; got.Remaining > 0 == crowded {
+			t.Errorf("others wait %t: a request beyond the limit has %v left", crowded, got.Remaining)
+		}
+	}
+}
+
+// What a request waits within the server, for a descriptor or for memory, is its client's time.
+func TestRequestTimeRunsFromReading(t *testing.T) {
+	const waited = time.Minute
+	var remaining time.Duration
+	server := newTestServer(t, 4, func(request protocol.Request, _ *PendingResponse) { remaining = request.Remaining }, nil)
+	c, _ := connectIdle(t, server, true)
+	c.receivedAt = time.Now().Add(-waited)
+	command := redcon.Command{Args: [][]byte{[]byte(commandRead), []byte("k"), []byte("1"), []byte("c=look,d=90000")}}
+	if err := server.dispatch(command, newPendingResponse(0), c); err != nil || remaining > 0 {
+		t.Errorf("%v left of the longest time after %v, %v", remaining, waited, err)
+	}
+}
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -114,6 +114,7 @@
 		return io.EOF
 	}
 	c.buffer.Commit(n)
+	c.receivedAt = time.Now()
 	return nil
 }
 
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -38,7 +38,8 @@
 	requestBytes *semaphore.Weighted // of the requests that wait for their responses
 	maxRemaining time.Duration
 	overflow     chan struct{} // holds one element for each connection beyond the descriptor limit
-	maxIdle      int           // connections that have sent a request and may stay open idle
+	shortage     *acceptShortage
+	maxIdle      int // connections that have sent a request and may stay open idle
 	opTypes      map[string]*decision.OpType
 	onRequest    func(request protocol.Request, response *PendingResponse)
 	onDisconnect func(response *PendingResponse)
@@ -89,6 +90,7 @@
 		requestBytes: semaphore.NewWeighted(config.MaxRequestBytes),
 		maxRemaining: config.MaxRemaining,
 		overflow:     make(chan struct{}, maxOverflowClients),
+		shortage:     newAcceptShortage(),
 		maxIdle:      int(idleConnectionShare * float64(config.Budget.limit)),
 		opTypes:      config.OpTypes,
 		onRequest:    config.OnRequest,
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -61,7 +61,7 @@
 		}
 		response := s.enqueueResponse(len(command.Raw))
 		if err == nil {
-			err = c.server.dispatch(command, response, c.ensureDescriptor())
+			err = c.server.dispatch(command, response, c)
 		}
 		if err != nil {
 			c.server.rejectMalformed(response, err)
@@ -116,18 +116,19 @@
 }
 
 // dispatch passes a request on, or returns what is wrong with it. One for whose connection there is no descriptor
-// has no time left: it gets its final response without an attempt.
-func (s *ClientServer) dispatch(command redcon.Command, response *PendingResponse, hasDescriptor bool) error {
+// has no time left: it gets its final response without an attempt. A request's time runs from the reading of its last byte.
+func (s *ClientServer) dispatch(command redcon.Command, response *PendingResponse, c *clientConnection) error {
 	switch string(command.Args[0]) {
 	case commandRead, commandWrite:
 		request, err := protocol.ParseRequest(command.Args, s.opTypes)
 		if err != nil {
 			return err
 		}
-		if !hasDescriptor {
+		request.Remaining = min(request.Remaining, s.maxRemaining)
+		if !c.awaitDescriptor() {
 			request.Remaining = 0
 		}
-		request.Remaining = min(request.Remaining, s.maxRemaining)
+		request.Remaining -= time.Since(c.receivedAt)
 		s.onRequest(request, response)
 	case commandPing:
 		response.complete(redcon.AppendString(nil, "PONG"))
