--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -44,6 +45,9 @@
 		Connected: func() {
 			r.post(func(now monotonic.Time) { r.attemptConnected(attempt, now) })
 		},
+		SentLate: func(span time.Duration) {
+			r.post(func(monotonic.Time) { r.attemptSentLate(request.id, endpoint.listed.ID, span) })
+		},
 		Finished: func(response protocol.Response) {
 			r.post(func(now monotonic.Time) { r.finishAttempt(attempt, response, now) })
 		},
@@ -63,6 +67,16 @@
 	}
 }
 
+// attemptSentLate counts and logs an attempt that went out after the process was held up for a span.
+func (r *Router) attemptSentLate(requestID, endpoint string, span time.Duration) {
+	total := r.sentLate.Add(1)
+	slog.Warn("attempt sent late", "request_id", requestID, "endpoint", endpoint, "duration", span, "total", total)
+}
+
+// AttemptsSentLate returns how many attempts have gone out late since the start, because the process was held up between the
+// last look at the time and the write. It does not block.
+func (r *Router) AttemptsSentLate() int64 { return r.sentLate.Load() }
+
 // finishAttempt takes in how an attempt ended, unless it was canceled before.
 func (r *Router) finishAttempt(attempt *activeAttempt, response protocol.Response, now monotonic.Time) {
 	request := attempt.request
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -43,6 +43,9 @@
 	// Connected is to be called, on another goroutine than the router's, once a connection had to be established and it
 	// has been. Nothing may be sent until Proceed is called then: that took time, and the decision is taken again.
 	Connected func()
+	// SentLate is to be called, on another goroutine than the router's, where the process was held up for a span between the
+	// last look at the time and the sending, so that the attempt went out by a state that is past.
+	SentLate func(span time.Duration)
 	// Finished is to be called once with the outcome, on another goroutine than the router's, unless the attempt was
 	// canceled or withheld before.
 	Finished func(protocol.Response)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -42,6 +42,7 @@
 
 	shutdownAt  monotonic.Time // by when every request is to be answered; 0 before a shutdown
 	queueLength atomic.Int64   // requests that the balancer has queued
+	sentLate    atomic.Int64   // attempts that went out late
 }
 
 // New returns a router. Its methods may be called at once; events are processed once Run is called.
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -20,6 +20,9 @@
 	// Connected is called on another goroutine once a new connection is established for the attempt, which then waits for
 	// Proceed. It may block.
 	Connected func()
+	// SentLate is called, on another goroutine, where the process was held up as the attempt went out: a span of more than
+	// maxSendSpan passed between the last look at the time and the write. It may block.
+	SentLate func(span time.Duration)
 	// Finished is called once with the outcome, on another goroutine, unless the attempt was canceled or withheld before.
 	Finished func(protocol.Response)
 }
@@ -68,11 +71,12 @@
 	}
 }
 
-// isTooLate reports whether the attempt's time is over, or it was decided on a state that is past.
-func (a *Attempt) isTooLate(now monotonic.Time) bool {
+// latestStart returns the last moment at which the first byte of the attempt may go out: later its time is over, or it was
+// decided on a state that is past.
+func (a *Attempt) latestStart() monotonic.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now >= a.request.Deadline || now-a.decidedAt > maxDecisionAge
+	return min(a.request.Deadline-1, a.decidedAt+maxDecisionAge)
 }
 
 // Cancel finishes an attempt without an outcome. The connection of one that has started is closed before Cancel
--- a/internal/transport/endpoint_connection.go
+++ b/internal/transport/endpoint_connection.go
@@ -20,6 +20,9 @@
 // decided on a state that is past, as when the process stalled; deadlines and graces allow for a stall this short.
 const maxDecisionAge = 150 * time.Millisecond
 
+// maxSendSpan is how long after the last look at the time the first byte of an attempt may go out: graces allow for that.
+const maxSendSpan = 150 * time.Millisecond
+
 // endpointConnection is one connection to an endpoint. It ends in close, which alone gives its descriptor back.
 type endpointConnection struct {
 	pool     *EndpointPool
@@ -87,25 +90,36 @@
 // errTooLate says that an attempt was decided too long ago, or its time is over, and nothing of it was written.
 var errTooLate = errors.New("too late to be sent")
 
-// write writes an attempt's request and returns how many bytes the kernel took.
+// write writes an attempt's request and returns how many bytes the kernel took. It reports the attempt as sent late where the
+// process was held up between the last look at the time and the end of the write: no program can rule that out.
 func (c *endpointConnection) write(attempt *Attempt, request []byte) (written int, err error) {
+	latestStart := attempt.latestStart()
+	var lookedAt, startedAt monotonic.Time
 	for written < len(request) {
 		n := 0
 		waitErr := c.rawConn.Write(func(fd uintptr) (done bool) {
-			// The process may stall at any point, so nothing but the system call follows this last look at the time. The moment
-			// of the decision is the router's own reading: one taken here would hide a stall since then.
-			if written == 0 && attempt.isTooLate(c.pool.clock()) {
-				err = errTooLate
-				return true
-			}
-			n, err = retryInterrupted(func() (int, error) { return unix.Write(int(fd), request[written:]) })
+			n, err = retryInterrupted(func() (int, error) {
+				// The process may stall at any point, so the system call follows right behind this last look at the time.
+				if written == 0 {
+					if lookedAt = c.pool.clock(); lookedAt > latestStart {
+						return 0, errTooLate
+					}
+				}
+				return unix.Write(int(fd), request[written:])
+			})
 			return err != unix.EAGAIN
 		})
+		if written == 0 {
+			startedAt = c.pool.clock()
+		}
 		if err = errors.Join(waitErr, err); err != nil {
 			return written, err
 		}
 		written += n
 	}
+	if span := startedAt - lookedAt; span > maxSendSpan {
+		attempt.request.SentLate(span)
+	}
 	return written, nil
 }
 
