--- a/internal/gatewaytest/addresses.go
+++ b/internal/gatewaytest/addresses.go
@@ -4,25 +4,30 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 )
 
-// Ports of gateways are drawn from below the range from which the kernel gives ports to those who ask for any, as fake
-// endpoints and connections do. A gateway opens its ports a while after they were reserved, in a process of its own: one
-// from that range may belong to another test by then, whose fakes get this test's requests.
+// Ports of gateways and fakes are drawn from below the range from which the kernel gives ports to those who ask for any, as
+// connections do. A gateway opens its ports a while after they were reserved, in a process of its own: one from that range
+// may belong to another test by then, whose fakes get this test's requests. A port that was given back is not reserved
+// again until all others of the process were: somebody may still be calling it.
 const (
 	firstReservedPort = 20_000
 	reservedPorts     = 12_000
 	portStride        = 37 // between the first ports that two processes try
 )
 
+// portsTried counts the ports that this process has tried to reserve.
+var portsTried atomic.Int64
+
 // ReserveAddress finds a loopback address whose port no other test of any process reserves until this test ends, and at
 // which both a listener and a datagram socket can be opened. Nothing is open there.
 func ReserveAddress(t testing.TB) string {
 	t.Helper()
-	start := os.Getpid() * portStride % reservedPorts
-	for i := range reservedPorts {
-		port := firstReservedPort + (start+i)%reservedPorts
+	start := os.Getpid() * portStride
+	for range reservedPorts {
+		port := firstReservedPort + (start+int(portsTried.Add(1)))%reservedPorts
 		lock, err := net.Listen("unix", fmt.Sprintf("@laurelring-test-port-%d", port)) // abstract: it ends with its process
 		if err != nil {
 			continue
--- a/internal/gatewaytest/client.go
+++ b/internal/gatewaytest/client.go
@@ -72,3 +72,16 @@
 	}
 	return strings.TrimRight(word, "\r\n"), err
 }
+
+// Ping reports whether a gateway answers PING in time.
+func Ping(address string, wait time.Duration) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(wait))
+	conn.Write(EncodeRequest("PING"))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	return err == nil && line == "+PONG\r\n"
+}
--- a/internal/gatewaytest/fleet.go
+++ b/internal/gatewaytest/fleet.go
@@ -23,8 +23,18 @@
 const processVariable = "LAURELRING_TEST_GATEWAY"
 
 // IsGatewayProcess reports whether this test program was started as a gateway of a Fleet. TestMain then has to run the
-// gateway's main function in place of the tests.
-func IsGatewayProcess() bool { return os.Getenv(processVariable) != "" }
+// gateway's main function in place of the tests. The process ends with the test program that started it, however that ends:
+// one left behind would go on calling ports that other tests get.
+func IsGatewayProcess() bool {
+	if os.Getenv(processVariable) == "" {
+		return false
+	}
+	go func() {
+		io.Copy(io.Discard, os.Stdin)
+		os.Exit(1)
+	}()
+	return true
+}
 
 const (
 	requestPeriod = 40 * time.Millisecond   // between two requests of a client
@@ -77,7 +87,10 @@
 // gatewayProcess is the process of one gateway.
 type gatewayProcess struct {
 	command     *exec.Cmd
+	startedAt   time.Time
+	lifeline    io.Closer     // the process ends as this is closed, as by the end of this one
 	done        chan struct{} // closed once it has ended
+	endedAt     time.Time     // once done is closed: when Wait returned
 	err         error         // how it ended, once done is closed
 	endExpected atomic.Bool   // a signal that ends it was sent
 }
@@ -107,13 +120,18 @@
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), processVariable+"=1", "RELAY_CONFIG="+path)
 	command.Stderr = log
+	lifeline, err := command.StdinPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	if err := command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	process := &gatewayProcess{command: command, done: make(chan struct{})}
+	process := &gatewayProcess{command: command, startedAt: time.Now(), lifeline: lifeline, done: make(chan struct{})}
 	f.processes[gateway] = process
 	go func() {
 		process.err = command.Wait()
+		process.endedAt = time.Now()
 		log.Close()
 		close(process.done)
 	}()
@@ -130,6 +148,28 @@
 	}
 }
 
+// AwaitEnd waits until a gateway's process, which was asked to end, has ended, and returns when that was seen. All of its
+// connections have ended by then.
+func (f *Fleet) AwaitEnd(gateway int) time.Time {
+	f.t.Helper()
+	f.awaitEnd(gateway)
+	return f.processes[gateway].endedAt
+}
+
+// StartedAt is when a gateway's process was started last.
+func (f *Fleet) StartedAt(gateway int) time.Time { return f.processes[gateway].startedAt }
+
+// AwaitReady waits until a gateway answers PING.
+func (f *Fleet) AwaitReady(gateway int) {
+	f.t.Helper()
+	for end := time.Now().Add(fleetStart); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if Ping(f.addresses[gateway], time.Until(end)) {
+			return
+		}
+	}
+	f.t.Fatalf("gateway %d is not ready", gateway)
+}
+
 // Restart starts a gateway's process again, at the same addresses, once the one before has ended.
 func (f *Fleet) Restart(gateway int) {
 	f.t.Helper()
--- a/internal/gatewaytest/gatewaytest.go
+++ b/internal/gatewaytest/gatewaytest.go
@@ -7,10 +7,10 @@
 	"testing"
 )
 
-// Listen opens a listener on a free port of loopback. It is closed when the test ends.
+// Listen opens a listener on a port of loopback that no other test has. It is closed when the test ends.
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", ReserveAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
