--- a/internal/transport/accept_shortage.go
+++ b/internal/transport/accept_shortage.go
@@ -16,7 +16,7 @@
 )
 
 // acceptShortage knows whether accepting is held up because all places beyond the descriptor limit are taken. n connections
-// that send nothing hold it up for at most longShortage and n times shortFirstRequestTime / maxOverflowClients.
+// that send nothing hold it up for longShortage at most and then for shortFirstRequestTime for each as many as have places.
 type acceptShortage struct {
 	mu      sync.Mutex
 	began   time.Time
--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -38,7 +38,7 @@
 	buffer       *protocol.Buffer
 	scanner      protocol.RequestScanner
 	handedOver   bool      // redcon has read handoverCommand
-	receivedAt   time.Time // when bytes were read last
+	receivedAt   time.Time // when the last of the bytes read so far came
 	partialSince time.Time // since when an incomplete request has been in the buffer; zero if there is none
 	framingLost  bool      // no further request can be read
 
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -114,7 +114,6 @@
 		return io.EOF
 	}
 	c.buffer.Commit(n)
-	c.receivedAt = time.Now()
 	return nil
 }
 
@@ -129,6 +128,7 @@
 	n, err = retryInterrupted(func() (int, error) { return unix.Read(int(fd), room) })
 	if n > 0 {
 		c.input = inputUnparsed
+		c.receivedAt = time.Now().Add(-sinceLastData(fd))
 	}
 	return n, err
 }
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// maxOverflowClients are connections beyond the descriptor limit, whose requests get their final answer
-	// without an attempt.
-	maxOverflowClients = 8
 	// shortageRetryDelay is the pause before an operation that failed for want of a descriptor is tried again.
 	shortageRetryDelay = 5 * time.Millisecond
 	// nextRequestWindow is the time within which an active client sends its next request. During shutdown a
@@ -89,7 +86,7 @@
 		log:          config.Log,
 		requestBytes: semaphore.NewWeighted(config.MaxRequestBytes),
 		maxRemaining: config.MaxRemaining,
-		overflow:     make(chan struct{}, maxOverflowClients),
+		overflow:     make(chan struct{}, config.Budget.overflow),
 		shortage:     newAcceptShortage(),
 		maxIdle:      int(idleConnectionShare * float64(config.Budget.limit)),
 		opTypes:      config.OpTypes,
--- a/internal/transport/descriptor_budget.go
+++ b/internal/transport/descriptor_budget.go
@@ -5,10 +5,14 @@
 )
 
 const (
-	// reservedDescriptors are for the standard streams (3), the poller (2), the listener, clients in overflow and the
-	// next of them, peers, discovery (2) and the rollout controller (2), each of the last two while one connection
-	// replaces another, and a few for the runtime.
-	reservedDescriptors = 16 + maxOverflowClients
+	// ownDescriptors are for the standard streams (3), the poller (2), the listener, the next client, peers, discovery (2)
+	// and the rollout controller (2), each of the last two while one connection replaces another, and a few for the runtime.
+	ownDescriptors = 16
+	// Clients in overflow are beyond the descriptor limit; their requests get their final answer without an attempt. They are
+	// a part of all descriptors, within these bounds: in a crowd the others wait until their places become free.
+	overflowShare      = 0.125
+	minOverflowClients = 8
+	maxOverflowClients = 32
 	// clientShare is the part of the budget that clients may use: those that send requests need no more than a third,
 	// and a crowd of others must not take what attempts need.
 	clientShare   = 0.5
@@ -20,7 +24,8 @@
 // connections are closed: first those of the owner that asks, then those of the other, so that neither starves the
 // other.
 type DescriptorBudget struct {
-	limit int
+	limit    int // of clients within the limit and endpoints together
+	overflow int // clients beyond that
 
 	mu        sync.Mutex
 	available int
@@ -43,8 +48,9 @@
 
 // NewDescriptorBudget returns a budget of as many descriptors as the gateway may open in all.
 func NewDescriptorBudget(limit int) *DescriptorBudget {
-	limit = max(limit-reservedDescriptors, 2)
-	return &DescriptorBudget{limit: limit, available: limit}
+	overflow := min(max(int(overflowShare*float64(limit)), minOverflowClients), maxOverflowClients)
+	limit = max(limit-ownDescriptors-overflow, 2)
+	return &DescriptorBudget{limit: limit, overflow: overflow, available: limit}
 }
 
 // addQuota adds an owner that may use a part of the budget, from 0 to 1. It is called before any descriptor is
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,3 +27,13 @@
 		}
 	}
 }
+
+// sinceLastData returns how long ago the last data came on a TCP connection, in whole milliseconds. It is 0 where the system
+// does not tell.
+func sinceLastData(fd uintptr) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
