--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -25,7 +25,8 @@
 
 	started        bool           // Tick has been called
 	catchUpUntil   monotonic.Time // no attempt starts until then, after the process stalled
-	stallNoticedAt monotonic.Time // when the latest stall that has anything caught up was noticed
+	stallBeganAt   monotonic.Time // when the latest stall that has anything caught up began
+	stallNoticedAt monotonic.Time // when it was noticed
 
 	opTypes        []*OpType
 	endpoints      []*Endpoint // those that the list names, and those with attempts in flight
--- a/decision/discovery/lease.go
+++ b/decision/discovery/lease.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// ConfirmUnread renews the lease by an answer that is read at a moment and may have lain unread since an earlier one, through a
+// stall of the process: the list was current then.
+func (l *Lease) ConfirmUnread(readAt, sentAfter monotonic.Time) {
+	if readAt > l.suspectAt {
+		l.expiresAt = max(l.expiresAt, sentAfter+LeaseTTL)
+		l.confirmedAt = max(l.confirmedAt, sentAfter)
+	}
+}
+
 // Suspect ends the lease after a span at the latest. What was confirmed or proved before now does not renew it any more.
 func (l *Lease) Suspect(now monotonic.Time, remaining time.Duration) {
 	l.expiresAt = min(l.expiresAt, now+remaining)
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -24,8 +24,15 @@
 func (lb *Balancer) StartLease(now monotonic.Time) { lb.endpointList.lease.Start(now) }
 
 // EndpointListConfirmed renews the lease: by an answer of discovery, or by a peer that got one, the current list was up to
-// date at a moment, as far as drains and removals go.
-func (lb *Balancer) EndpointListConfirmed(at monotonic.Time) { lb.endpointList.lease.Confirm(at) }
+// date at a moment, as far as drains and removals go. What is read while the process catches up after a stall may have been
+// sent before that.
+func (lb *Balancer) EndpointListConfirmed(at monotonic.Time) {
+	if at >= lb.stallNoticedAt && lb.CatchingUp(at) {
+		lb.endpointList.lease.ConfirmUnread(at, lb.stallBeganAt)
+	} else {
+		lb.endpointList.lease.Confirm(at)
+	}
+}
 
 // EndpointListTrusted reports whether the lease on the endpoint list is valid.
 func (lb *Balancer) EndpointListTrusted(now monotonic.Time) bool {
@@ -70,7 +77,7 @@
 // the call for it may have been given up with its answer unread.
 func (lb *Balancer) ProcessStalled(span time.Duration, now monotonic.Time) {
 	if span > harmlessStall {
-		lb.stallNoticedAt, lb.catchUpUntil = now, now+catchUpPause
+		lb.stallBeganAt, lb.stallNoticedAt, lb.catchUpUntil = now-span, now, now+catchUpPause
 	}
 	if span > maxTrustedStall {
 		lb.endpointList.lease.Suspect(now, 0)
--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -106,6 +106,27 @@
 	}
 }
 
+// An answer of discovery that lay unread through a stall says how things stood before it. It renewed the lease from its reading
+// on, so that after a stop of over a second and an outage of discovery behind it, endpoints got requests whose draining
+// counted as notified.
+func TestAnswerReadAfterStallRenewsLeaseFromBeforeIt(t *testing.T) {
+	const span = 3 * second
+	gateway := withLease(2)
+	began := gateway.now + second
+	gateway.balancer.ProcessStalled(span, began+span)
+	gateway.balancer.EndpointListConfirmed(began + span + millisecond)
+	if n := len(gateway.allowedEndpoints(began + discovery.LeaseTTL - millisecond)); n != 2 {
+		t.Errorf("%d of 2 endpoints get requests while the answer may be relied on", n)
+	}
+	if some := gateway.allowedEndpoints(began + discovery.LeaseTTL); len(some) != 0 {
+		t.Errorf("%v get requests by an answer from before the stall", some)
+	}
+	gateway.balancer.EndpointListConfirmed(began + span + catchUpPause)
+	if n := len(gateway.allowedEndpoints(began + span + catchUpPause + discovery.LeaseTTL - millisecond)); n != 2 {
+		t.Errorf("%d of 2 endpoints get requests once discovery has answered after the stall", n)
+	}
+}
+
 // Without a lease, as where discovery pushes changes, the list is trusted for good.
 func TestEndpointListWithoutLeaseIsTrusted(t *testing.T) {
 	gateway := withEndpoints(newTestGateway(3, PromoteByAnyVote), 2)
