--- a/internal/gatewaytest/addresses.go
+++ b/internal/gatewaytest/addresses.go
@@ -24,6 +24,13 @@
 // ReserveAddress finds a loopback address whose port no other test of any process reserves until this test ends, and at
 // which both a listener and a datagram socket can be opened. Nothing is open there.
 func ReserveAddress(t testing.TB) string {
+	t.Helper()
+	return reserve(t, canOpen)
+}
+
+// reserve finds a loopback address whose port no other test of any process reserves until this test ends, and at which a
+// function succeeds that opens what is to be opened there.
+func reserve(t testing.TB, open func(address string) bool) string {
 	t.Helper()
 	start := os.Getpid() * portStride
 	for range reservedPorts {
@@ -33,7 +40,7 @@
 			continue
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if !canOpen(address) {
+		if !open(address) {
 			lock.Close()
 			continue
 		}
