--- a/decision/evidencereport.go
+++ b/decision/evidencereport.go
@@ -12,7 +12,7 @@
 	evidenceInterval = 500 * time.Millisecond
 	// evidenceTTL is how long after its last report a peer counts as heard.
 	evidenceTTL = 1500 * time.Millisecond
-	// maxClockSkew is how far the clocks of two gateways may lie apart.
+	// maxClockSkew is how far the clocks of two gateways may lie apart, but for steps before they started.
 	maxClockSkew = 100 * time.Millisecond
 	// maxObservations bounds the endpoints in one message; the others wait for the next.
 	maxObservations = 20
@@ -96,8 +96,7 @@
 		return
 	}
 	lb.recordObservations(report.Observations, now)
-	// One that says it was counted long after it came, as by a faulty clock, must not outlast those that follow it.
-	countedAt := min(report.CountedAt, now+maxClockSkew)
+	countedAt := lb.rollout.clocks.local(report.Sender, report.CountedAt, now)
 	current := &rollout.Report{CountedAt: countedAt, Build: report.Build, Counters: counters}
 	previous, accepted := peers.reports.Accept(report.Sender, current)
 	// Build 0 stands for no build under judgement: a report that names it is of none, and there are no totals to reconcile.
--- a/decision/rollout.go
+++ b/decision/rollout.go
@@ -28,6 +28,7 @@
 	evidence evidenceState
 	cost     costState
 	peers    peerEvidenceState
+	clocks   senderClocks
 	voters   voterState
 	stage    stageState
 	rollback rollbackCase
@@ -49,6 +50,7 @@
 			harmCost:      costs.Harm,
 			peerMessages:  peerMessages,
 		},
+		clocks: newSenderClocks(gateways),
 		peers:  peerEvidenceState{reports: rollout.NewPeerReports(gateways)},
 		voters: voterState{selection: rollout.NewVoters(gateways, voters)},
 		stage:  stageState{promoteCheckAt: noCheck},
--- a/decision/voters.go
+++ b/decision/voters.go
@@ -100,8 +100,7 @@
 		return
 	}
 	report.receivedAt = now
-	// One that says it was found long after it came must not outlast those that follow it.
-	report.FoundAt = min(report.FoundAt, now+maxClockSkew)
+	report.FoundAt = state.clocks.local(report.Sender, report.FoundAt, now)
 	for _, endpoint := range report.Outliers {
 		endpoint.outlierUntil = now + voterReportInterval + evidenceInterval
 	}
