--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -84,10 +84,10 @@
 	}
 }
 
-// NoticeUnread takes in that something which arrived during the latest stall may still be unread: no attempt starts at this
-// moment.
-func (lb *Balancer) NoticeUnread(now monotonic.Time) {
-	lb.catchUpUntil = max(lb.catchUpUntil, now+lb.tick)
+// AwaitUnread has no attempt start after a stall until CaughtUp is called, as what arrived meanwhile may be unread, or until it
+// was waited for that long enough.
+func (lb *Balancer) AwaitUnread(now monotonic.Time) {
+	lb.catchUpUntil = max(lb.catchUpUntil, lb.stallNoticedAt+maxCatchUp, now+lb.tick)
 }
 
 // CatchingUp reports whether what arrived during a stall may still be unread: no attempt starts, and nothing that is read now
@@ -99,11 +99,6 @@
 	return now >= lb.stallNoticedAt+catchUpPause
 }
 
-// CatchUpOverdue reports whether it was waited long enough for what arrived during the latest stall to be read.
-func (lb *Balancer) CatchUpOverdue(now monotonic.Time) bool {
-	return now >= lb.stallNoticedAt+maxCatchUp
-}
-
 // CaughtUp takes in that what arrived during the latest stall has been read: attempts may start again.
 func (lb *Balancer) CaughtUp(now monotonic.Time) { lb.catchUpUntil = min(lb.catchUpUntil, now) }
 
--- a/internal/routing/stall.go
+++ b/internal/routing/stall.go
@@ -19,7 +19,6 @@
 type stallDetector struct {
 	clockReadAt monotonic.Time // 0 before the start
 	nextTurnBy  monotonic.Time
-	catchingUp  bool // what arrived during a stall may not have been read yet
 }
 
 func (d *stallDetector) start(now monotonic.Time) { d.clockReadAt = now }
@@ -44,9 +43,6 @@
 	if late := r.stall.delay(now); late > stallThreshold {
 		r.processStalled(late, now)
 	}
-	if r.stall.catchingUp {
-		r.balancer.NoticeUnread(now)
-	}
 	return now
 }
 
@@ -54,14 +50,11 @@
 // been read and processed, or has not been for longer than is waited for it. A fixed pause alone would not do: beside load
 // their readers may take their turn later than that.
 func (r *Router) endCatchUp(now monotonic.Time) {
-	if !r.stall.catchingUp || !r.balancer.CatchUpPauseOver(now) {
-		return
-	}
-	if r.drivers.HasUnhandledNotice() && !r.balancer.CatchUpOverdue(now) {
+	if r.drivers.HasUnhandledNotice == nil || !r.balancer.CatchingUp(now) || !r.balancer.CatchUpPauseOver(now) ||
+		r.drivers.HasUnhandledNotice() {
 		return
 	}
 	r.processWaitingEvents() // what was posted before the look
-	r.stall.catchingUp = false
 	r.balancer.CaughtUp(now)
 }
 
@@ -71,7 +64,9 @@
 		slog.Warn("process stalled", "duration", late.Round(time.Millisecond))
 	}
 	r.balancer.ProcessStalled(late, now)
-	r.stall.catchingUp = r.drivers.HasUnhandledNotice != nil
+	if r.drivers.HasUnhandledNotice != nil {
+		r.balancer.AwaitUnread(now)
+	}
 	if r.list.exchange != nil && !r.balancer.EndpointListTrusted(now) {
 		r.list.exchange.DiscoveryLost(now)
 	}
