--- a/cmd/gateway/stall_test.go
+++ b/cmd/gateway/stall_test.go
@@ -257,3 +257,32 @@
 		})
 	}
 }
+
+// Beside load the reader of the rollout controller may get the processor later than the router, though nothing stands still: a
+// status that lowered the cap lay unread while attempts at the canary build went on. No attempt at that build starts while
+// something is unread.
+func TestNoAttemptAtCanaryWhileStatusIsUnread(t *testing.T) {
+	rig := newStallRig(t)
+	canary, err := protocol.ParseRolloutStatus([]byte(`{"release":1,"tranche":2,"mode":"testing","exposure":1,"old_ms":0}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rig.router.RolloutStatusReceived(canary) // of the build that the only endpoint runs
+	rig.openConnection()
+	before := len(rig.arrived())
+	rig.unread.Store(true)
+	answer := rig.ask()
+	time.Sleep(300 * time.Millisecond)
+	if early := len(rig.arrived()) - before; early > 0 {
+		t.Errorf("%d attempts at the canary build while the status lies unread", early)
+	}
+	canary.Phase, canary.ExposureCap = decision.PhaseRolledBack, 0
+	rig.router.RolloutStatusReceived(canary) // read now
+	rig.unread.Store(false)
+	if got := <-answer; got != "rejected" {
+		t.Errorf("answered %q, want a rejection", got)
+	}
+	if late := len(rig.arrived()) - before; late > 0 {
+		t.Errorf("%d attempts at a build that was rolled back", late)
+	}
+}
--- a/decision/canary.go
+++ b/decision/canary.go
@@ -22,6 +22,8 @@
 	phase RolloutPhase
 	cap   float64 // share of the requests that may go to the build
 
+	heldUntil monotonic.Time // no attempt at a canary build starts until then
+
 	exposure   exposure.Limiter
 	stickyKeys *exposure.StickyKeys // nil where the deployment has none
 }
@@ -45,6 +47,12 @@
 	return canary
 }
 
+// CanaryExposed reports whether requests may go to the newest build, which is not released.
+func (lb *Balancer) CanaryExposed() bool { return lb.canary.phase == PhaseCanary && lb.canary.cap > 0 }
+
+// HoldCanary has no attempt at a canary build start for a moment, as something that may lower its cap is unread.
+func (lb *Balancer) HoldCanary(now monotonic.Time) { lb.canary.heldUntil = now + lb.tick }
+
 // isCanary reports whether a build is a canary build: one that is not known to be released, announced or not.
 func (lb *Balancer) isCanary(build int) bool {
 	canary := &lb.canary
@@ -73,6 +81,9 @@
 	if !lb.isCanary(endpoint.build) {
 		return true
 	}
+	if now < canary.heldUntil {
+		return false
+	}
 	stage, limit := canary.stageOf(endpoint.build)
 	if limit <= 0 || stage < canary.closedStages && request.opType.idempotency != Idempotent {
 		return false
--- a/decision/rules.go
+++ b/decision/rules.go
@@ -33,9 +33,10 @@
 }
 
 // MaySend reports whether an attempt of which nothing has gone out may go out now: it is still allowed, its time is not over,
-// and what arrived during a stall of the process has been read.
+// and what may speak against it has been read.
 func (lb *Balancer) MaySend(attempt *Attempt, now monotonic.Time) bool {
-	return lb.AttemptAllowed(attempt, now) && now < attempt.request.deadline && now >= lb.catchUpUntil
+	held := now < lb.catchUpUntil || lb.isCanary(attempt.build) && now < lb.canary.heldUntil
+	return lb.AttemptAllowed(attempt, now) && now < attempt.request.deadline && !held
 }
 
 // RequireVerifiedBuilds lets attempts go to verified builds only, of which none is known yet.
--- a/internal/routing/rollout.go
+++ b/internal/routing/rollout.go
@@ -17,6 +17,7 @@
 type rolloutState struct {
 	knownBuilds []int           // given to VerifyBuild, the earliest first
 	logged      rolloutPosition // the latest that was logged
+	unreadSince monotonic.Time  // since when something that may lower the cap is unread; 0 if nothing is
 }
 
 // rolloutPosition is where a build stands in its rollout.
--- a/internal/routing/stall.go
+++ b/internal/routing/stall.go
@@ -12,6 +12,8 @@
 	stallThreshold = 100 * time.Millisecond
 	// loggedStallThreshold is the same for the log.
 	loggedStallThreshold = 500 * time.Millisecond
+	// maxCanaryHold is how long a canary build gets no attempts at the most because something is unread.
+	maxCanaryHold = time.Second
 )
 
 // stallDetector knows when the clock was last read and when it is to be read again at the latest. Until it is started,
@@ -43,9 +45,29 @@
 	if late := r.stall.delay(now); late > stallThreshold {
 		r.processStalled(late, now)
 	}
+	r.holdCanaryWhileUnread(now)
 	return now
 }
 
+// holdCanaryWhileUnread keeps new attempts from a canary build while something that discovery or the rollout controller has sent
+// is unread, as it may lower the cap, which binds from its writing on: beside load their readers may get the processor much
+// later than this goroutine. What does not become complete is not waited for without end.
+func (r *Router) holdCanaryWhileUnread(now monotonic.Time) {
+	if r.drivers.HasUnhandledNotice == nil || !r.balancer.CanaryExposed() {
+		return
+	}
+	if !r.drivers.HasUnhandledNotice() {
+		r.rollout.unreadSince = 0
+		return
+	}
+	if r.rollout.unreadSince == 0 {
+		r.rollout.unreadSince = now
+	}
+	if now-r.rollout.unreadSince < maxCanaryHold {
+		r.balancer.HoldCanary(now)
+	}
+}
+
 // endCatchUp lets attempts start again after a stall once all that discovery and the rollout controller sent meanwhile has
 // been read and processed, or has not been for longer than is waited for it. A fixed pause alone would not do: beside load
 // their readers may take their turn later than that.
