--- a/internal/transport/discovery_client.go
+++ b/internal/transport/discovery_client.go
@@ -48,6 +48,7 @@
 
 	mu         sync.Mutex
 	address    string
+	moves      int                // how often the address has changed
 	cancelPoll context.CancelFunc // ends the present poll
 }
 
@@ -168,12 +169,13 @@
 		return false
 	}
 	c.address = address
+	c.moves++
 	c.cancelPoll()
 	return true
 }
 
 // watch polls again and again, each time as soon as the last list is handled, until a poll fails and the address has
-// not changed meanwhile. It returns a *protocol.CallError.
+// not changed meanwhile, there and back included. It returns a *protocol.CallError.
 func (c *DiscoveryClient) watch(ctx context.Context) error {
 	defer c.client.CloseIdleConnections()
 	first := true
@@ -192,7 +194,7 @@
 func (c *DiscoveryClient) pollCurrentAddress(ctx context.Context, first bool) (addressChanged bool, err error) {
 	pollCtx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
-	address := c.address
+	address, moves := c.address, c.moves
 	c.cancelPoll = cancel
 	c.mu.Unlock()
 	started := time.Now()
@@ -203,7 +205,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.address != address, err
+	return c.moves != moves, err
 }
 
 // poll makes one long poll and handles its list. It reports whether a list had started to arrive that was not taken
--- a/internal/transport/discovery_client_test.go
+++ b/internal/transport/discovery_client_test.go
@@ -212,6 +212,30 @@
 	cancel()
 }
 
+// New configurations in quick succession: discovery moves away and back before the canceled poll has returned. The watch took
+// that for a failed poll, reported it, and paused for the backoff of failures, during which no change of the list is seen.
+func TestContinuesAfterMoveThereAndBack(t *testing.T) {
+	polls := make(chan struct{}, 9)
+	server := newDiscoveryServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		polls <- struct{}{}
+		<-r.Context().Done()
+	})
+	failures := make(chan error, 9)
+	client := newTestDiscoveryClient(t, server, DiscoveryClientConfig{OnFailure: func(err error) { failures <- err }})
+	ctx, _ := newTestContext(t)
+	client.StartWatch(ctx)
+	<-polls
+	client.SetAddress("127.0.0.1:1")
+	client.SetAddress(addressOf(server))
+	select {
+	case <-polls:
+	case err := <-failures:
+		t.Errorf("the watch ended: %v", err)
+	case <-time.After(responseWait):
+		t.Error("the watch does not go on")
+	}
+}
+
 // Discovery that is overloaded refuses polls after a while. It gets no larger polls than before: full lists, requested
 // by a fleet, doubled the polls and served fewer (scenarios herd+mass and disco+mass of the simulator).
 func TestPollsFromHeldRevisionAfterLateRefusal(t *testing.T) {
