--- a/internal/gatewaytest/endpoint.go
+++ b/internal/gatewaytest/endpoint.go
@@ -194,7 +194,10 @@
 	}
 }
 
-// sinceLastByte returns how long ago the last byte came on a connection, by the kernel, in whole milliseconds: beside load the
+// kernelTick is the longest tick of the kernel's clock, by which it dates what comes.
+const kernelTick = 10 * time.Millisecond
+
+// sinceLastByte returns for how long the last byte of a connection has been there at the least, by the kernel: beside load the
 // fake takes a request long after it came.
 func sinceLastByte(conn net.Conn) time.Duration {
 	raw, err := conn.(syscall.Conn).SyscallConn()
@@ -205,7 +208,7 @@
 	if raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO) }) != nil || err != nil {
 		return 0 // it has ended meanwhile
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-kernelTick)
 }
 
 // Arrivals returns the requests that arrived, in their order.
