--- a/internal/gatewaytest/endpoint.go
+++ b/internal/gatewaytest/endpoint.go
@@ -152,19 +152,6 @@
 	e.connections = nil
 }
 
-// arrivedAfter counts the requests that arrived after a moment.
-func (e *Endpoint) arrivedAfter(moment time.Time) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	count := 0
-	for _, arrival := range e.arrivals {
-		if arrival.At.After(moment) {
-			count++
-		}
-	}
-	return count
-}
-
 func (e *Endpoint) serve(conn redcon.Conn, request redcon.Command) {
 	takenAt := time.Now()
 	if !expectRequest(e.t, conn, request) {
@@ -220,9 +207,6 @@
 
 // ArrivedAfter counts the requests that arrived at any of the endpoints after a moment.
 func ArrivedAfter(endpoints []*Endpoint, moment time.Time) int {
-	count := 0
-	for _, endpoint := range endpoints {
-		count += endpoint.arrivedAfter(moment)
-	}
-	return count
+	arrived, _ := ArrivalsAfter(endpoints, moment, nil)
+	return len(arrived)
 }
--- a/internal/gatewaytest/fleet.go
+++ b/internal/gatewaytest/fleet.go
@@ -103,7 +103,7 @@
 		f.startProcess(gateway)
 		f.t.Cleanup(func() {
 			f.Signal(gateway, syscall.SIGKILL)
-			f.awaitEnd(gateway)
+			f.AwaitEnd(gateway)
 		})
 		go f.RunClient(ctx, gateway)
 	}
@@ -137,23 +137,16 @@
 	}()
 }
 
-// awaitEnd waits until a gateway's process has ended, and fails the test where nobody asked it to, or where it did not
-// end well after SIGTERM.
-func (f *Fleet) awaitEnd(gateway int) {
+// AwaitEnd waits until a gateway's process has ended, and fails the test where nobody asked it to, or where it did not
+// end well after SIGTERM. It returns when the end was seen: all of the process's connections have ended by then.
+func (f *Fleet) AwaitEnd(gateway int) time.Time {
 	process := f.processes[gateway]
 	<-process.done
 	killed := process.err != nil && process.err.Error() == "signal: killed"
 	if !process.endExpected.Load() || process.err != nil && !killed {
 		f.t.Errorf("gateway %d ended by itself: %v", gateway, process.err)
 	}
-}
-
-// AwaitEnd waits until a gateway's process, which was asked to end, has ended, and returns when that was seen. All of its
-// connections have ended by then.
-func (f *Fleet) AwaitEnd(gateway int) time.Time {
-	f.t.Helper()
-	f.awaitEnd(gateway)
-	return f.processes[gateway].endedAt
+	return process.endedAt
 }
 
 // StartedAt is when a gateway's process was started last.
@@ -173,7 +166,7 @@
 // Restart starts a gateway's process again, at the same addresses, once the one before has ended.
 func (f *Fleet) Restart(gateway int) {
 	f.t.Helper()
-	f.awaitEnd(gateway)
+	f.AwaitEnd(gateway)
 	f.startProcess(gateway)
 }
 
