--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// An answer of discovery that is read behind a stall that does no harm must renew the lease from its reading on. It is dated from
+// before an earlier stall, or from the start, as a harmless one is not noted, so that one renewal is lost.
+func TestAnswerReadAfterHarmlessStallRenewsLease(t *testing.T) {
+	gateway := withLease(2)
+	at := gateway.now + 2*second
+	gateway.balancer.ProcessStalled(harmlessStall, at)
+	gateway.balancer.AwaitUnread(at)
+	gateway.balancer.EndpointListConfirmed(at + millisecond)
+	gateway.balancer.CaughtUp(at + millisecond)
+	if n := len(gateway.allowedEndpoints(at + discovery.LeaseTTL - harmlessStall - millisecond)); n != 2 {
+		t.Errorf("%d of 2 endpoints get requests while the answer may be relied on", n)
+	}
+}
+
 // Without a lease, as where discovery pushes changes, the list is trusted for good.
 func TestEndpointListWithoutLeaseIsTrusted(t *testing.T) {
 	gateway := withEndpoints(newTestGateway(3, PromoteByAnyVote), 2)
