--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -29,6 +29,17 @@
 	revision int64
 	changed  chan struct{} // closed at the next change of the list
 	servers  []*http.Server
+	crowded  bool // each call waits too long
+}
+
+// crowdedWait is how long a call waits before it fails while there are too many callers.
+const crowdedWait = time.Second
+
+// setCrowded makes each call fail after crowdedWait, or answers calls at once again.
+func (d *discovery) setCrowded(crowded bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crowded = crowded
 }
 
 func newDiscovery(gateways int, members []*member, rec *record) (*discovery, error) {
@@ -101,6 +112,15 @@
 }
 
 func (d *discovery) serve(out http.ResponseWriter, in *http.Request, gateway int) {
+	d.mu.Lock()
+	crowded := d.crowded
+	d.mu.Unlock()
+	if crowded {
+		d.record.now("discovery lets gateway %d wait, and answers 503", gateway)
+		time.Sleep(crowdedWait)
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	query := in.URL.Query()
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(*play) (broken bool, err error){
 	"discovery-returns": discoveryReturns,
 	"late-connections":  lateConnections,
+	"discovery-moves":   discoveryMoves,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/sticky.go
+++ b/review/standin/sticky.go
@@ -31,7 +31,7 @@
 // lateConnections plays a release in a deployment whose keys move forward only, while new connections to most servers
 // come up late.
 func lateConnections(p *play) (broken bool, err error) {
-	f, err := newPosFleet(p, posGateways)
+	f, err := newFleet(p, posGateways)
 	if err != nil {
 		return false, err
 	}
@@ -80,7 +80,7 @@
 }
 
 // endLate makes connections come up at once again.
-func (f *posFleet) endLate() {
+func (f *fleet) endLate() {
 	f.play.record.say("connections come up at once again")
 	for _, e := range f.endpoints {
 		for _, listener := range e.listeners {
@@ -91,7 +91,7 @@
 
 // release offers a build and moves it on, stage by stage, as the gateways vote. Each earlier server is drained as soon as
 // its successor runs.
-func (f *posFleet) release(build int) error {
+func (f *fleet) release(build int) error {
 	earlier := append([]*member(nil), f.members...)
 	replaced := 0
 	for stage, share := range stageShares {
@@ -127,7 +127,7 @@
 }
 
 // succeed lists a new server a little after its start, and drains the one that it replaces.
-func (f *posFleet) succeed(old, successor *member) {
+func (f *fleet) succeed(old, successor *member) {
 	time.Sleep(listedAfter)
 	f.discovery.change(func() {
 		successor.revision = f.discovery.revision + 1
@@ -143,7 +143,7 @@
 
 // judgeKeys reports whether a key went to an earlier build through a gateway after the new build had answered it there: a
 // client had its answer, and the later request reached a server of an earlier build.
-func (f *posFleet) judgeKeys(build int) (broken bool) {
+func (f *fleet) judgeKeys(build int) (broken bool) {
 	type place struct {
 		gateway int
 		key     string
