--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -117,9 +117,7 @@
 	lb.endAttempt(attempt, outcome, now)
 	lb.updateHealth(attempt, outcome, result.Duration, now)
 	lb.recordEvidence(attempt, outcome, result.Duration, now)
-	if outcome == OutcomeSuccess {
-		lb.bindKey(request.key, attempt.build)
-	}
+	keyBound := outcome == OutcomeSuccess && lb.bindKey(request.key, attempt.build)
 	if result.RequestCompleted || outcome == OutcomeSuccess {
 		request.completed = true
 		lb.dequeue(request)
@@ -127,7 +125,9 @@
 	if attempt.mayHaveExecuted && request.opType.idempotency == NonIdempotent && !request.completed {
 		return lb.rejectOrFail(request, ReasonMayHaveExecuted)
 	}
-	return lb.Route(request, now)
+	decided := lb.Route(request, now)
+	decided.KeyBound = keyBound
+	return decided
 }
 
 // endAttempt removes an attempt from the attempts in flight.
--- a/decision/canary.go
+++ b/decision/canary.go
@@ -112,12 +112,14 @@
 }
 
 // bindKey binds a sticky key to the build that answered it, so that the key goes to no earlier build. It applies to the
-// newest build in its canary phase or after its release, and to builds that are not announced yet.
-func (lb *Balancer) bindKey(key uint64, build int) {
+// newest build in its canary phase or after its release, and to builds that are not announced yet. It reports whether
+// the key was not bound to the build or a later one before.
+func (lb *Balancer) bindKey(key uint64, build int) (bound bool) {
 	canary := &lb.canary
 	if build > canary.build || build == canary.build && (canary.phase == PhaseCanary || canary.phase == PhaseReleased) {
-		canary.stickyKeys.RecordAnswer(key, build, lb.rollout.build)
+		return canary.stickyKeys.RecordAnswer(key, build, lb.rollout.build)
 	}
+	return false
 }
 
 // RolloutStatus is the status of the newest build as reported by the rollout controller.
--- a/decision/exposure/stickykeys.go
+++ b/decision/exposure/stickykeys.go
@@ -38,15 +38,16 @@
 }
 
 // RecordAnswer records that a build has answered a key. Until the build is rolled back, only it and later builds may
-// serve the key.
-func (s *StickyKeys) RecordAnswer(key uint64, build, canaryBuild int) {
+// serve the key. RecordAnswer reports whether earlier builds that were allowed to serve the key no longer are.
+func (s *StickyKeys) RecordAnswer(key uint64, build, canaryBuild int) (bound bool) {
 	if s == nil || key == 0 || build <= s.newestBuilds[key] {
-		return
+		return false
 	}
 	if build == canaryBuild {
 		s.canaryRequests += s.requestsByKey[key]
 	}
 	s.newestBuilds[key] = build
+	return true
 }
 
 // Allows reports whether a build may serve a key: it may unless a later build has answered the key.
--- a/decision/messages.go
+++ b/decision/messages.go
@@ -91,6 +91,9 @@
 	Endpoint   *Endpoint     // endpoint of the attempt
 	Timeout    time.Duration // timeout of the attempt
 	RetryAfter time.Duration // how long the client should wait after ActionReject; 0 for no advice
+	// KeyBound is set if the answer has bound the request's sticky key to a later build than before. Attempts for the key
+	// that have not been sent may no longer be allowed; see AttemptAllowed.
+	KeyBound bool
 }
 
 // Vote is a vote to cast at the rollout controller.
--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -55,13 +55,15 @@
 }
 
 // attemptConnected sends or withholds an attempt whose connection has been established. It asks the balancer again
-// because the client may have disconnected in the meantime, the endpoint may have begun to drain, or the process may
-// have stalled.
+// because the client may have disconnected in the meantime, the endpoint may have begun to drain, a later build may have
+// answered the sticky key, or the process may have stalled.
 func (r *Router) attemptConnected(attempt *activeAttempt, now monotonic.Time) {
 	if attempt.request.attempts[attempt.state] != attempt {
 		return
 	}
-	if r.balancer.MaySend(attempt.state, now) {
+	allowed := r.balancer.MaySend(attempt.state, now)
+	r.requestLog.attemptConnected(attempt.request.id, attempt.state.Number(), now-attempt.startedAt, allowed)
+	if allowed {
 		attempt.handle.Proceed(now)
 	} else if attempt.handle.Withhold() {
 		r.finishAttempt(attempt, protocol.Response{Outcome: decision.OutcomeNotSent}, now)
@@ -99,12 +101,16 @@
 	duration := now - attempt.startedAt
 	completed := request.client == nil
 	r.requestLog.attemptFinished(request.id, r.endpoints.byEndpoint[attempt.state.Endpoint()], outcome, duration)
+	result := decision.AttemptResult{Outcome: outcome, Duration: duration, RequestCompleted: completed}
+	decided := r.balancer.FinishAttempt(attempt.state, result, now)
+	if decided.KeyBound {
+		r.withholdDisallowed(now) // before the client can know of the answer
+	}
 	if outcome == decision.OutcomeSuccess && !completed {
 		r.requestLog.answered(request.id, answerServed, decision.ReasonNone)
 		request.client.Respond(response.Value)
 	}
-	result := decision.AttemptResult{Outcome: outcome, Duration: duration, RequestCompleted: completed}
-	r.apply(request, r.balancer.FinishAttempt(attempt.state, result, now), now)
+	r.apply(request, decided, now)
 }
 
 // cancelAttempt cancels an attempt. The given outcome applies if the request may have reached the endpoint, and
@@ -130,7 +136,7 @@
 
 // withholdDisallowed cancels the attempts that the balancer no longer allows and of which nothing has been sent. An
 // attempt may wait up to a second for its connection. In that time its client may disconnect, its endpoint may begin to
-// drain, or the exposure cap may be lowered.
+// drain, the exposure cap may be lowered, or a later build may answer its sticky key.
 func (r *Router) withholdDisallowed(now monotonic.Time) {
 	var withheld []*activeAttempt
 	for _, attempt := range r.timers.heap {
--- a/internal/routing/requestlog.go
+++ b/internal/routing/requestlog.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// attemptConnected logs that a connection has been established for an attempt, how long the attempt has waited since it
+// was decided, and whether it may still be sent.
+func (l requestLog) attemptConnected(id string, number int, waited time.Duration, allowed bool) {
+	if l.enabled {
+		slog.Debug("attempt connected", "request_id", id, "attempt", number, "duration", waited, "allowed", allowed)
+	}
+}
+
 // attemptFinished logs the outcome of an attempt. The endpoint is nil if its record has been deleted in the meantime.
 func (l requestLog) attemptFinished(id string, endpoint *endpointRecord, outcome decision.Outcome, duration time.Duration) {
 	if !l.enabled {
