--- a/decision/idempotency.go
+++ b/decision/idempotency.go
@@ -36,14 +36,13 @@
 	return op.idempotency == Idempotent || op.idempotency == IdempotentByKey && op.dedupScope == ScopeAll
 }
 
-// repeatAllowed reports whether an attempt at an endpoint cannot repeat an effect, whichever of the earlier attempts
-// executed.
-func (lb *Balancer) repeatAllowed(request *Request, endpoint *Endpoint, now monotonic.Time) bool {
-	op := request.opType
+// repeatAllowed reports whether an attempt that is sent to an endpoint now cannot repeat an effect, whichever of the
+// earlier attempts of its request executed.
+func (lb *Balancer) repeatAllowed(op *OpType, earlier []*Attempt, endpoint *Endpoint, now monotonic.Time) bool {
 	if op.idempotency == Idempotent {
 		return true
 	}
-	for _, attempt := range request.attempts {
+	for _, attempt := range earlier {
 		if !attempt.mayHaveExecuted {
 			continue
 		}
