--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -92,9 +92,7 @@
 	lb.admission.window.AttemptStarted()
 	endpoint.inFlight, endpoint.lastAttemptAt = append(endpoint.inFlight, attempt), now
 	endpoint.recentAttempts.Add(now, max(lb.slowStart.overloadSpan, canaryShareSpan))
-	if lb.isCanary(endpoint.build) {
-		lb.canary.exposure.RecordAttempt(endpoint.build, request.opType.index, now)
-	}
+	lb.countExposure(attempt, now)
 	// The attempt may use all the time that the client still waits. With a shorter timeout, an endpoint may go on
 	// working on an abandoned attempt that its concurrency limit no longer counts, which makes an overload worse.
 	// cancelSilentAttempts detects silent endpoints instead.
--- a/decision/canary.go
+++ b/decision/canary.go
@@ -96,6 +96,22 @@
 	return canary.exposure.Allows(endpoint.build, request.opType.index, exposureCap, now)
 }
 
+// countExposure counts an attempt against the exposure cap if it is at a canary build.
+func (lb *Balancer) countExposure(attempt *Attempt, now monotonic.Time) {
+	if lb.isCanary(attempt.build) {
+		lb.canary.exposure.RecordAttempt(attempt.build, attempt.request.opType.index, now)
+		attempt.exposedAt = now
+	}
+}
+
+// discountExposure reverts countExposure for an attempt of which nothing has been sent.
+func (lb *Balancer) discountExposure(attempt *Attempt) {
+	if attempt.exposedAt > 0 {
+		lb.canary.exposure.RemoveAttempt(attempt.build, attempt.request.opType.index, attempt.exposedAt)
+		attempt.exposedAt = 0
+	}
+}
+
 // withinCanaryShare reports whether a canary endpoint may get one more attempt within canaryShareFactor times its share
 // of the requests, by its relative capacity. shortageFactor raises this limit while other endpoints are missing or
 // warming up. The limit applies even if the exposure cap allows more: an endpoint that is slow because it is overloaded
--- a/decision/exposure/exposure.go
+++ b/decision/exposure/exposure.go
@@ -45,6 +45,11 @@
 	l.attemptsAt(build, opType).Add(now, l.config.Window)
 }
 
+// RemoveAttempt removes an attempt that was counted at the given time.
+func (l *Limiter) RemoveAttempt(build, opType int, countedAt monotonic.Time) {
+	l.attemptsAt(build, opType).Remove(countedAt)
+}
+
 // Allows reports whether one more attempt at a build stays within the exposure cap. A lowered cap applies immediately
 // and also counts the attempts made before it was lowered: the grace period that the deployment grants is not used.
 func (l *Limiter) Allows(build, opType int, exposureCap float64, now monotonic.Time) bool {
--- a/decision/request.go
+++ b/decision/request.go
@@ -79,7 +79,8 @@
 	done     bool
 
 	sentAt          monotonic.Time
-	build           int // build, zone and cell of the endpoint when the attempt started
+	exposedAt       monotonic.Time // time for which the attempt counts against the exposure cap; 0 if it does not
+	build           int            // build, zone and cell of the endpoint when the attempt started
 	zone            int
 	cell            int
 	overdueCounted  bool // the attempt is overdue and has been recorded as a loss
--- a/decision/rules.go
+++ b/decision/rules.go
@@ -28,7 +28,7 @@
 // is completed or its client has left, if the endpoint is no longer usable or runs another build, if the attempt could
 // repeat the effect of an earlier one, if a later build has answered the request's sticky key, or if the attempt is at a
 // canary build whose exposure cap has dropped to 0. These things may change while the attempt waits for a connection. A
-// cap that was lowered, but not to 0, takes effect for later attempts only, through the exposure window.
+// cap that was lowered, but not to 0, takes effect when the attempt is connected.
 func (lb *Balancer) AttemptAllowed(attempt *Attempt, now monotonic.Time) bool {
 	request, endpoint := attempt.request, attempt.endpoint
 	return !request.completed && lb.endpointUsable(endpoint, now) && endpoint.build == attempt.build &&
@@ -37,11 +37,19 @@
 		!(lb.isCanary(attempt.build) && attempt.build <= lb.canary.build && lb.canary.cap <= 0)
 }
 
-// MaySend reports whether an attempt of which nothing has been sent may be sent now: it is still allowed, its deadline
-// has not passed, and no messages that could forbid it are still unread.
-func (lb *Balancer) MaySend(attempt *Attempt, now monotonic.Time) bool {
-	held := now < lb.catchUpUntil || lb.isCanary(attempt.build) && now < lb.canary.heldUntil
-	return lb.AttemptAllowed(attempt, now) && now < attempt.request.deadline && !held
+// AttemptConnected decides again on an attempt that has waited for its connection, and reports whether it may be sent
+// now: it is still allowed, its deadline has not passed, no messages that could forbid it are still unread, and the
+// exposure cap has room for it. From then on the attempt counts as made now.
+func (lb *Balancer) AttemptConnected(attempt *Attempt, now monotonic.Time) (maySend bool) {
+	if now < lb.catchUpUntil || now >= attempt.request.deadline || !lb.AttemptAllowed(attempt, now) {
+		return false
+	}
+	lb.discountExposure(attempt)
+	if !lb.withinExposureCap(attempt.request, attempt.endpoint, now) {
+		return false
+	}
+	lb.countExposure(attempt, now)
+	return true
 }
 
 // RequireVerifiedBuilds restricts attempts to verified builds. No build counts as verified until BuildVerified is
--- a/decision/slidingwindow/slidingwindow.go
+++ b/decision/slidingwindow/slidingwindow.go
@@ -2,6 +2,7 @@
 package slidingwindow
 
 import (
+	"slices"
 	"sort"
 
 	"laurelring/decision/monotonic"
@@ -20,6 +21,13 @@
 	w.times = append(w.times[expired:], now)
 }
 
+// Remove removes one event that was recorded at the given time, if it has not been dropped.
+func (w *Window) Remove(at monotonic.Time) {
+	if i, found := slices.BinarySearch(w.times, at); found {
+		w.times = slices.Delete(w.times, i, i+1)
+	}
+}
+
 // CountAfter returns the number of events after the given time that have not been dropped.
 func (w *Window) CountAfter(after monotonic.Time) int {
 	return len(w.times) - sort.Search(len(w.times), func(i int) bool { return w.times[i] > after })
--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -61,7 +61,7 @@
 	if attempt.request.attempts[attempt.state] != attempt {
 		return
 	}
-	allowed := r.balancer.MaySend(attempt.state, now)
+	allowed := r.balancer.AttemptConnected(attempt.state, now)
 	r.requestLog.attemptConnected(attempt.request.id, attempt.state.Number(), now-attempt.startedAt, allowed)
 	if allowed {
 		attempt.handle.Proceed(now)
