--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -77,15 +77,16 @@
 	}
 	lb.dequeue(request)
 	attempt := &Attempt{
-		request:         request,
-		endpoint:        endpoint,
-		number:          len(request.attempts),
-		sentAt:          now,
-		build:           endpoint.build,
-		zone:            endpoint.zone,
-		cell:            endpoint.cell,
-		mayHaveExecuted: true,
-		duringWarmUp:    endpoint.startedAt > 0 && now-endpoint.startedAt < evidenceWarmUp,
+		request:           request,
+		endpoint:          endpoint,
+		number:            len(request.attempts),
+		sentAt:            now,
+		build:             endpoint.build,
+		endpointStartedAt: endpoint.startedAt,
+		zone:              endpoint.zone,
+		cell:              endpoint.cell,
+		mayHaveExecuted:   true,
+		duringWarmUp:      endpoint.startedAt > 0 && now-endpoint.startedAt < evidenceWarmUp,
 	}
 	request.attempts = append(request.attempts, attempt)
 	request.inFlight++
--- a/decision/lateconnection_test.go
+++ b/decision/lateconnection_test.go
@@ -70,3 +70,20 @@
 		t.Errorf("%d attempts were sent within the window, want at most %v", sent, limit)
 	}
 }
+
+// An endpoint restarts, with its build, while an attempt waits for its connection. Guards against more requests at an
+// endpoint that has just started than slow start allows: the attempt was decided, and counted, for the earlier process.
+func TestWaitingAttemptIsNotAllowedAfterRestartOfItsEndpoint(t *testing.T) {
+	gateway := withEndpoints(newTestGateway(5, PromoteByAnyVote), 1)
+	attempt := gateway.send(0, 0).Attempt(0)
+	gateway.now += 100 * millisecond
+	if !gateway.balancer.AttemptAllowed(attempt, gateway.now) {
+		t.Fatal("a waiting attempt is not allowed although nothing has changed")
+	}
+	gateway.balancer.UpdateEndpoint(gateway.endpoints[0],
+		EndpointStatus{Ready: true, Present: true, Build: 1, Size: 2, StartedAt: gateway.now}, gateway.now)
+	gateway.balancer.CommitEndpointList(false, gateway.now)
+	if gateway.balancer.AttemptAllowed(attempt, gateway.now) {
+		t.Error("a waiting attempt is allowed although its endpoint has restarted")
+	}
+}
--- a/decision/request.go
+++ b/decision/request.go
@@ -78,16 +78,17 @@
 	number   int // index among the attempts of its request
 	done     bool
 
-	sentAt          monotonic.Time
-	exposedAt       monotonic.Time // time for which the attempt counts against the exposure cap; 0 if it does not
-	build           int            // build, zone and cell of the endpoint when the attempt started
-	zone            int
-	cell            int
-	overdueCounted  bool // the attempt is overdue and has been recorded as a loss
-	endpointSilent  bool // the attempt is overdue at a silent endpoint and no longer counts in the concurrency window
-	canceled        bool // the caller was asked to cancel the attempt
-	mayHaveExecuted bool // the attempt is in flight, or its outcome does not prove that the request was not executed
-	duringWarmUp    bool // the attempt started while its endpoint was too young for its outcomes to be evidence
+	sentAt            monotonic.Time
+	exposedAt         monotonic.Time // time for which the attempt counts against the exposure cap; 0 if it does not
+	build             int            // build, zone and cell of the endpoint, and its start, when the attempt started
+	endpointStartedAt monotonic.Time // 0 if long ago
+	zone              int
+	cell              int
+	overdueCounted    bool // the attempt is overdue and has been recorded as a loss
+	endpointSilent    bool // the attempt is overdue at a silent endpoint and no longer counts in the concurrency window
+	canceled          bool // the caller was asked to cancel the attempt
+	mayHaveExecuted   bool // the attempt is in flight, or its outcome does not prove that the request was not executed
+	duringWarmUp      bool // the attempt started while its endpoint was too young for its outcomes to be evidence
 }
 
 // Request returns the request that the attempt belongs to.
