--- a/cmd/gateway/start.go
+++ b/cmd/gateway/start.go
@@ -16,13 +16,13 @@
 	if err := g.router.EndpointListReceived(routing.EndpointListUpdate{List: c.endpointList, Cached: true}); err != nil {
 		return err
 	}
+	if !c.balancerConfig.PollDiscovery {
+		g.router.WatchPushedList()
+	}
 	go g.rollout.Run(ctx)
 	if g.agent != nil {
 		g.startMetadataAgent(ctx, stop)
 	}
-	if !c.balancerConfig.PollDiscovery {
-		go g.discovery.KeepWatching(ctx)
-	}
 	if g.peers != nil {
 		go g.peers.Run(g.router.DatagramReceived, g.limitedLog)
 	}
--- a/decision/config.go
+++ b/decision/config.go
@@ -29,6 +29,9 @@
 	Rollout   RolloutConfig
 
 	PollDiscovery bool // discovery does not push changes of the endpoint list and has to be polled for them
+	// DrainGrace is how long attempts at an endpoint may still start after the gateway is notified that the endpoint drains
+	// or is gone.
+	DrainGrace time.Duration
 }
 
 // OpTypeConfig describes one type of operation.
@@ -101,6 +104,8 @@
 		return fmt.Errorf("%w: rank %d is below 0", ErrConfig, c.Rank)
 	case c.Zone < 0:
 		return fmt.Errorf("%w: zone %d is below 0", ErrConfig, c.Zone)
+	case c.DrainGrace < 0:
+		return fmt.Errorf("%w: the grace period of a drain, %v, is below 0", ErrConfig, c.DrainGrace)
 	case math.IsNaN(c.Exposure.Allowance):
 		return fmt.Errorf("%w: the exposure allowance is not a number", ErrConfig)
 	}
@@ -136,6 +141,7 @@
 		slowStart: newSlowStartState(config.SlowStart),
 		rollout:   newRolloutState(config.Rollout, config.Costs, gateways),
 	}
+	lb.endpointList.drainGrace = config.DrainGrace
 	if config.PollDiscovery {
 		lb.endpointList.polling = discovery.NewPacing()
 	}
--- a/decision/discovery/discovery_test.go
+++ b/decision/discovery/discovery_test.go
@@ -111,6 +111,40 @@
 	}
 }
 
+// Guards against attempts at endpoints that have been listed as draining for longer than the grace period: discovery
+// that pushes its list came back, and a gateway opened its watch again only after the grace period.
+func TestBrokenWatchOfPushedListIsReopenedWithinDrainGrace(t *testing.T) {
+	for _, drainGrace := range []time.Duration{200 * time.Millisecond, 250 * time.Millisecond, time.Second, 3 * time.Second} {
+		pacing, random := NewPushPacing(drainGrace), seeded.New(1)
+		pacing.Start(300, &random, start)
+		if poll, _ := pacing.Poll(start); !poll {
+			t.Errorf("grace period %v: the watch is not opened at once", drainGrace)
+		}
+		pauses := map[time.Duration]bool{}
+		for range 50 {
+			pacing.EstimateUnanswered(1)
+			pacing.Failed(&random, start)
+			_, next := pacing.Poll(start)
+			pause := next - start
+			if latest := (drainGrace - maxWriteDelay) / 2; pause > latest || pause < latest/2 {
+				t.Errorf("grace period %v: got a pause of %v, want %v at most and half of that at least", drainGrace, pause, latest)
+			}
+			pauses[pause] = true
+		}
+		if len(pauses) < 6 { // pauses differ by whole milliseconds, of which the shortest range has 12
+			t.Errorf("grace period %v: got only %d different pauses in 50, gateways call in step", drainGrace, len(pauses))
+		}
+	}
+}
+
+func TestWatchOfPushedListIsReopenedAtBoundedRateWithoutDrainGrace(t *testing.T) {
+	pacing, random := NewPushPacing(0), seeded.New(1)
+	pacing.Failed(&random, start)
+	if _, next := pacing.Poll(start); next < start+minReopenDelay/2 {
+		t.Errorf("got a pause of %v, want at least half of minReopenDelay", next-start)
+	}
+}
+
 func TestEachScheduledPollIsMadeOnce(t *testing.T) {
 	pacing, random := NewPacing(), seeded.New(1)
 	pacing.Start(3, &random, start)
--- a/decision/discovery/polling.go
+++ b/decision/discovery/polling.go
@@ -27,16 +27,22 @@
 	fullOutageBackoff = 5600 * time.Millisecond
 	// maxDoublings keeps the shift of the backoff from overflowing.
 	maxDoublings = 10
+	// maxWriteDelay is the longest time for which the process may be held up between reading the clock and writing. The
+	// grace period of a drain has to cover it.
+	maxWriteDelay = 150 * time.Millisecond
+	// minReopenDelay bounds the rate of calls where the grace period of a drain leaves no time for a pause.
+	minReopenDelay = 10 * time.Millisecond
 )
 
 // Never is a time that is never reached.
 const Never = monotonic.Time(math.MaxInt64)
 
-// Pacing decides when one gateway polls discovery for changes of the endpoint list. The zero value never polls. It is
-// used where discovery pushes each change.
+// Pacing decides when one gateway polls discovery for changes of the endpoint list, or opens the watch over which
+// discovery pushes them. The zero value does neither. It is used where a change is pushed without a call.
 type Pacing struct {
 	enabled         bool
-	scheduled       bool // a poll is scheduled for nextAt and none is in flight
+	reopenDelay     time.Duration // longest pause before a broken watch of a pushed list is opened again; 0 if it is polled
+	scheduled       bool          // a poll is scheduled for nextAt and none is in flight
 	nextAt          monotonic.Time
 	failures        int     // number of failed polls since the last answer
 	unansweredShare float64 // estimated share of the gateways that get no answer
@@ -45,18 +51,33 @@
 // NewPacing returns the pacing of a gateway that has to poll discovery.
 func NewPacing() Pacing { return Pacing{enabled: true, scheduled: true} }
 
-// Start schedules the first poll at a random time, drawn from a longer interval in larger fleets.
+// NewPushPacing returns the pacing of a gateway to which discovery pushes changes over a watch. Gateways are considered
+// notified of what discovery has, even if the watch is broken, and discovery that was down is back without notice. So a
+// broken watch is opened again and again, and the pause leaves half of the grace period of a drain, less maxWriteDelay,
+// for the call itself.
+func NewPushPacing(drainGrace time.Duration) Pacing {
+	return Pacing{enabled: true, scheduled: true, reopenDelay: max(minReopenDelay, (drainGrace-maxWriteDelay)/2)}
+}
+
+// Start schedules the first poll of a polled list at a random time, drawn from a longer interval in larger fleets. The
+// watch of a pushed list is opened at once.
 func (p *Pacing) Start(gateways int, random *seeded.Source, now monotonic.Time) {
-	if p.enabled {
+	if p.enabled && p.reopenDelay == 0 {
 		p.nextAt = now + random.Jitter(min(maxFirstPoll, firstPollSingleGateway+time.Duration(gateways-1)*firstPollPerGateway))
 	}
 }
 
-// Failed schedules the next poll after a failed poll or a broken watch, with a pause that grows with each failure.
+// Failed schedules the next call after a failed call or a broken watch. For a polled list the pause grows with each
+// failure.
 func (p *Pacing) Failed(random *seeded.Source, now monotonic.Time) {
 	if !p.enabled {
 		return
 	}
+	if p.reopenDelay > 0 {
+		p.scheduled = true
+		p.nextAt = now + p.reopenDelay/2 + random.Jitter(p.reopenDelay/2)
+		return
+	}
 	pause := min(maxBackoff, initialBackoff<<min(p.failures, maxDoublings))
 	pause = max(pause, time.Duration(p.unansweredShare*float64(fullOutageBackoff)))
 	p.failures++
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -27,6 +27,13 @@
 // reports when it cannot.
 func (lb *Balancer) StartLease(now monotonic.Time) { lb.endpointList.lease.Start(now) }
 
+// WatchPushedList schedules the calls that open the watch over which discovery pushes changes of the endpoint list, the
+// first one at once, and open it again when it has broken. Without a call of WatchPushedList changes are pushed without
+// a watch.
+func (lb *Balancer) WatchPushedList() {
+	lb.endpointList.polling = discovery.NewPushPacing(lb.endpointList.drainGrace)
+}
+
 // EndpointListConfirmed renews the lease: according to an answer of discovery, or to a peer that got one, the current
 // list was up to date at the given time, as far as drains and removals go. An answer that is read while the gateway
 // catches up after a stall may have been sent before the stall, so it renews the lease only from the beginning of the
@@ -68,7 +75,7 @@
 	lb.endpointList.lease.Suspect(now, discovery.MovedLease)
 }
 
-// DiscoveryFailed records that a poll of discovery failed or a watch broke. The next poll comes after a backoff.
+// DiscoveryFailed records that a call to discovery failed or a watch broke. The next call comes after a pause.
 func (lb *Balancer) DiscoveryFailed(now monotonic.Time) {
 	lb.endpointList.polling.Failed(&lb.random, now)
 }
@@ -118,6 +125,7 @@
 
 // endpointListState is the state of the endpoint list as a whole.
 type endpointListState struct {
+	drainGrace       time.Duration // see Config.DrainGrace
 	lease            discovery.Lease
 	polling          discovery.Pacing
 	maxFleetCapacity float64 // largest total relative capacity of the ready endpoints so far, see updateFleetSize
--- a/decision/messages.go
+++ b/decision/messages.go
@@ -109,7 +109,7 @@
 	EvidenceReport     *EvidenceReport // report to send to the gateways in EvidenceRecipients; nil if none is due
 	EvidenceRecipients []int           // ranks of the gateways that receive EvidenceReport
 	VoterReport        *VoterReport    // report to send to all other gateways; nil if none is due
-	PollDiscovery      bool            // discovery must be asked for changes of the endpoint list
+	PollDiscovery      bool            // discovery must be polled for changes of the endpoint list, or their watch opened
 	CancelAttempts     []*Attempt      // attempts that the caller must stop waiting for
 }
 
--- a/decision/start_test.go
+++ b/decision/start_test.go
@@ -20,6 +20,12 @@
 	}
 }
 
+func TestNegativeDrainGraceIsRefused(t *testing.T) {
+	if _, err := New(Config{Gateways: 1, DrainGrace: -second}); !errors.Is(err, ErrConfig) {
+		t.Errorf("grace period of -1s: got error %v, want ErrConfig", err)
+	}
+}
+
 // A negative zone must be rejected. It used to crash the gateway at the first result of an attempt.
 func TestNegativeZoneIsRefused(t *testing.T) {
 	if _, err := New(Config{Zone: -1, Gateways: 1}); !errors.Is(err, ErrConfig) {
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -10,6 +10,9 @@
 	"laurelring/decision"
 )
 
+// defaultDrainGrace is the grace period of a drain if the settings do not name one.
+const defaultDrainGrace = time.Second
+
 // Settings holds the settings that every gateway is given when it starts, both on sockets and in the simulator.
 type Settings struct {
 	balancer decision.Config // without the seed
@@ -122,11 +125,25 @@
 		OverloadSpan:     r.duration("invariants.fall_ms"),
 	}
 	config.PollDiscovery = r.text("registry_mode") == "ask"
+	config.DrainGrace = r.drainGrace()
 	config.Exposure = r.exposure()
 	config.Rollout = r.rollout()
 	return config
 }
 
+// drainGrace reads the grace period of a drain. Settings without it get defaultDrainGrace.
+func (r *settingsReader) drainGrace() time.Duration {
+	const path = "invariants.drain_grace_ms"
+	if !r.root.Get(path).Exists() {
+		return defaultDrainGrace
+	}
+	grace := r.duration(path)
+	if grace < 0 {
+		r.fail(path, "is negative")
+	}
+	return grace
+}
+
 func (r *settingsReader) opType(index int, object gjson.Result) decision.OpTypeConfig {
 	idempotency, knownIdempotency := parseIdempotency(r.get(object, "repeat", gjson.String).Str)
 	scope, knownScope := parseDeduplicationScope(object.Get("dedup_scope").Str)
--- a/internal/routing/endpointlist.go
+++ b/internal/routing/endpointlist.go
@@ -11,6 +11,10 @@
 	"laurelring/internal/protocol"
 )
 
+// failureLogInterval is the shortest time between two log lines about failures of discovery while the list is not
+// confirmed.
+const failureLogInterval = time.Second
+
 // endpointListState is the state of the endpoint list, except for the endpoints themselves.
 type endpointListState struct {
 	revision    int64            // of the held list
@@ -19,6 +23,8 @@
 	exchange    *gossip.Exchange // nil if the gateways do not exchange views
 	newerView   *peerView        // nil if no peer's view is newer than the held list
 
+	failureLoggedAt monotonic.Time // when a failure of discovery was last logged
+
 	loggedTrusted bool // whether the lease was valid according to the latest log message about it
 }
 
@@ -130,13 +136,17 @@
 	}
 }
 
+// WatchPushedList posts that discovery pushes changes of the endpoint list over a watch, which is opened now.
+func (r *Router) WatchPushedList() {
+	r.post(func(monotonic.Time) { r.balancer.WatchPushedList() })
+}
+
 // DiscoveryFailed posts that a call to discovery failed or that a watch of the endpoint list broke. A response that
 // began but did not arrive completely may have contained drains.
 func (r *Router) DiscoveryFailed(err error) {
 	r.post(func(now monotonic.Time) {
 		r.list.failures++
-		slog.Warn("endpoint list watch failed", "error", err, "revision", r.list.revision,
-			"failures", r.list.failures, "unconfirmed_for", r.list.unconfirmedFor(now))
+		r.logDiscoveryFailure(err, now)
 		var call *protocol.CallError
 		if errors.As(err, &call) && call.ResponseStarted {
 			r.balancer.DiscoveryResponseBroken(now)
@@ -149,6 +159,17 @@
 	})
 }
 
+// logDiscoveryFailure logs the first failure since discovery last confirmed the list, and then at most one in
+// failureLogInterval: the watch of a pushed list is opened again many times a second.
+func (r *Router) logDiscoveryFailure(err error, now monotonic.Time) {
+	if r.list.failures > 1 && now-r.list.failureLoggedAt < failureLogInterval {
+		return
+	}
+	r.list.failureLoggedAt = now
+	slog.Warn("endpoint list watch failed", "error", err, "revision", r.list.revision,
+		"failures", r.list.failures, "unconfirmed_for", r.list.unconfirmedFor(now))
+}
+
 // DiscoveryResponseStarted posts that a response from discovery has begun to arrive.
 func (r *Router) DiscoveryResponseStarted() {
 	r.post(func(now monotonic.Time) { r.balancer.DiscoveryResponseStarted(now) })
--- a/internal/routing/endpointlist_test.go
+++ b/internal/routing/endpointlist_test.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 )
@@ -68,3 +70,26 @@
 		}
 	}
 }
+
+// While discovery that pushes the list is down, its watch is opened again many times a second. The log gets the first
+// failure and then one line a second at most, each with the number of failures so far.
+func TestLogsFailuresOfDiscoveryAtMostOnceASecond(t *testing.T) {
+	env := newFixture(t, 1)
+	var log strings.Builder
+	previous := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(previous)
+	for range 100 { // over 2.5 s
+		env.router.DiscoveryFailed(errors.New("refused"))
+		env.router.turn()
+		env.now += 25 * ms
+	}
+	if got := strings.Count(log.String(), "endpoint list watch failed"); got != 3 {
+		t.Errorf("got %d log lines for failures over 2.5 s, want 3", got)
+	}
+	for _, failures := range []string{"failures=1 ", "failures=41 ", "failures=81 "} {
+		if !strings.Contains(log.String(), failures) {
+			t.Errorf("no log line with %s", failures)
+		}
+	}
+}
--- a/internal/transport/discovery_client.go
+++ b/internal/transport/discovery_client.go
@@ -20,7 +20,7 @@
 	// longPollLimit is the upper bound on the wait of one long poll, even if the configured wait is longer. A random part
 	// of the wait, up to 1/waitJitterDivisor, is subtracted, so that gateways whose watches stop responding at the same
 	// time detect it, and poll again, one after the other. A silent watch is tolerated for at most 6 s: the wait,
-	// responseGrace and two retry delays, in case the first new poll is refused, stay within that.
+	// responseGrace and two pauses before the next call, in case the first new poll is refused, stay within that.
 	longPollLimit     = 2400 * time.Millisecond
 	waitJitterDivisor = 3
 	// responseGrace is how long to wait for a response after the wait of its long poll, because discovery serves polls one
@@ -31,9 +31,6 @@
 	firstPollWait = time.Millisecond
 	// responseStallTimeout is the maximum time between two reads of a response. A response that exceeds it is abandoned.
 	responseStallTimeout = 500 * time.Millisecond
-	// watchRetryDelay is the mean delay after a failed watch in KeepWatching. Each delay is up to half as much shorter or
-	// longer. The delay is short because a pushed list counts as received at once.
-	watchRetryDelay = 400 * time.Millisecond
 )
 
 // DiscoveryClient watches the endpoint list of discovery with long polls.
@@ -84,8 +81,8 @@
 	return nil
 }
 
-// NewDiscoveryClient returns a client that polls once StartWatch or KeepWatching is called. It returns an error if a
-// field of its configuration is missing or negative.
+// NewDiscoveryClient returns a client that polls once StartWatch is called. It returns an error if a field of its
+// configuration is missing or negative.
 func NewDiscoveryClient(config DiscoveryClientConfig) (*DiscoveryClient, error) {
 	if err := config.validate(); err != nil {
 		return nil, err
@@ -126,13 +123,6 @@
 	return conn != nil && conn.hasUnhandledInput()
 }
 
-// markHandled records that everything discovery has sent so far has been handled.
-func (c *DiscoveryClient) markHandled() {
-	if conn := c.conn.Load(); conn != nil {
-		conn.markHandled()
-	}
-}
-
 // StartWatch starts a watch of the endpoint list from the last revision, unless a watch is running already. It does not
 // block. The watch ends when a poll fails, which is reported to OnFailure, or when the context ends, which is not
 // reported.
@@ -142,27 +132,15 @@
 	}
 	go func() {
 		err := c.watch(ctx)
+		conn := c.conn.Load() // the next watch may begin, on another connection, as soon as watching is false
 		c.watching.Store(false)
 		if ctx.Err() == nil {
 			c.config.OnFailure(err)
-			c.markHandled()
+			conn.markHandled()
 		}
 	}()
 }
 
-// KeepWatching watches the endpoint list until the context ends, with a short delay after each failure. It is for
-// gateways to which the list is pushed, as the balancer does not schedule their polls.
-func (c *DiscoveryClient) KeepWatching(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.config.OnFailure(c.watch(ctx))
-		c.markHandled()
-		select {
-		case <-time.After(watchRetryDelay/2 + c.config.Random.Duration(watchRetryDelay)):
-		case <-ctx.Done():
-		}
-	}
-}
-
 // SetAddress makes the watch continue at another address at once, by canceling the current poll. It reports whether the
 // address has changed.
 func (c *DiscoveryClient) SetAddress(address string) bool {
@@ -190,7 +168,7 @@
 		} else if err != nil {
 			return err
 		}
-		c.markHandled()
+		c.conn.Load().markHandled()
 	}
 }
 
--- a/internal/transport/tracked_conn.go
+++ b/internal/transport/tracked_conn.go
@@ -58,8 +58,12 @@
 	return n, nil
 }
 
-// markHandled records that all bytes read so far have been handled. Only the reader may call it.
+// markHandled records that all bytes read so far have been handled. Only the reader may call it. It does nothing if
+// there is no connection.
 func (c *trackedConn) markHandled() {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unhandled = false
