--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -105,6 +105,9 @@
 	Outcome          Outcome
 	Duration         time.Duration // from the start of the attempt to its end
 	RequestCompleted bool          // the request has its final answer
+	// AnswerUnread is set if the endpoint may have answered the request although the outcome is no success, as its answer
+	// may have been lost or could not be read.
+	AnswerUnread bool
 }
 
 // FinishAttempt records the result of an attempt and decides what to do next with its request.
@@ -116,7 +119,7 @@
 	lb.endAttempt(attempt, outcome, now)
 	lb.updateHealth(attempt, outcome, result.Duration, now)
 	lb.recordEvidence(attempt, outcome, result.Duration, now)
-	keyBound := outcome == OutcomeSuccess && lb.bindKey(request.key, attempt.build)
+	keyBound := (outcome == OutcomeSuccess || result.AnswerUnread) && lb.bindKey(request.key, attempt.build)
 	if result.RequestCompleted || outcome == OutcomeSuccess {
 		request.completed = true
 		lb.dequeue(request)
--- a/decision/canary.go
+++ b/decision/canary.go
@@ -127,7 +127,7 @@
 	return stableCapacity == 0 || float64(len(endpoint.inFlight)) < 1+limitFactor*stableInFlight/stableCapacity*lb.relativeCapacity(endpoint)
 }
 
-// bindKey binds a sticky key to the build that answered it, so that the key goes to no earlier build. It applies to the
+// bindKey binds a sticky key to the build that answered it, or may have, so that the key goes to no earlier build. It applies to the
 // newest build in its canary phase or after its release, and to builds that are not announced yet. It reports whether
 // the key was not bound to the build or a later one before.
 func (lb *Balancer) bindKey(key uint64, build int) (bound bool) {
--- a/internal/protocol/response.go
+++ b/internal/protocol/response.go
@@ -58,6 +58,7 @@
 	Outcome    decision.Outcome
 	Value      []byte // nil if the response has no value
 	LoadReport []byte // empty if the response has no load report
+	Malformed  bool   // a response arrived that could not be parsed
 }
 
 // Next continues to scan the response at the start of the buffer. If the response is complete, Next copies it and
--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -93,7 +93,7 @@
 	}
 	outcome := response.Outcome
 	if outcome == decision.OutcomeSuccess && response.Value == nil {
-		outcome = decision.OutcomeError // a response without a value does not belong to this request
+		outcome, response.Malformed = decision.OutcomeError, true // it does not belong to this request
 	}
 	if outcome == decision.OutcomeSuccess {
 		r.balancer.AttemptServed(attempt.state, attempt.handle.ConnectedAt())
@@ -101,7 +101,12 @@
 	duration := now - attempt.startedAt
 	completed := request.client == nil
 	r.requestLog.attemptFinished(request.id, r.endpoints.byEndpoint[attempt.state.Endpoint()], outcome, duration)
-	result := decision.AttemptResult{Outcome: outcome, Duration: duration, RequestCompleted: completed}
+	result := decision.AttemptResult{
+		Outcome:          outcome,
+		Duration:         duration,
+		RequestCompleted: completed,
+		AnswerUnread:     response.Malformed || answerMayBeLost(outcome),
+	}
 	decided := r.balancer.FinishAttempt(attempt.state, result, now)
 	if decided.KeyBound {
 		r.withholdDisallowed(now) // before the client can know of the answer
@@ -113,6 +118,17 @@
 	r.apply(request, decided, now)
 }
 
+// answerMayBeLost reports whether an endpoint may have written an answer that did not arrive: the request reached it, and
+// its connection ended, or was closed, before any answer was read.
+func answerMayBeLost(outcome decision.Outcome) bool {
+	switch outcome {
+	case decision.OutcomeConnectionLost, decision.OutcomeTimeout, decision.OutcomeCanceled:
+		return true
+	default:
+		return false
+	}
+}
+
 // cancelAttempt cancels an attempt. The given outcome applies if the request may have reached the endpoint, and
 // OutcomeNotSent if it has not. An attempt that has already finished is left until its own outcome arrives.
 func (r *Router) cancelAttempt(attempt *activeAttempt, outcome decision.Outcome, now monotonic.Time) {
--- a/internal/routing/requestlog.go
+++ b/internal/routing/requestlog.go
@@ -23,16 +23,16 @@
 	return requestLog{enabled: slog.Default().Enabled(context.Background(), slog.LevelDebug)}
 }
 
-func (l requestLog) accepted(id string, remaining time.Duration) {
+func (l requestLog) accepted(id string, key uint64, remaining time.Duration) {
 	if l.enabled {
-		slog.Debug("request accepted", "request_id", id, "remaining", remaining)
+		slog.Debug("request accepted", "request_id", id, "key", key, "remaining", remaining)
 	}
 }
 
 func (l requestLog) attemptStarted(id string, endpoint *endpointRecord, revision int64, number int) {
 	if l.enabled {
 		slog.Debug("attempt started", "request_id", id, "endpoint", endpoint.listed.ID, "attempt", number,
-			"revision", revision)
+			"build", endpoint.listed.Build, "revision", revision)
 	}
 }
 
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -79,7 +79,7 @@
 		attempts: map[*decision.Attempt]*activeAttempt{},
 	}
 	r.requests.add(active)
-	r.requestLog.accepted(active.id, remaining)
+	r.requestLog.accepted(active.id, request.Key, remaining)
 	r.apply(active, r.balancer.Route(active.state, now), now)
 }
 
--- a/internal/transport/endpoint_connection.go
+++ b/internal/transport/endpoint_connection.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		c.pool.log.Warn("malformed response from endpoint", "address", c.address)
 		// The request may have run, and the endpoint is reachable.
-		response, complete = protocol.Response{Outcome: decision.OutcomeError}, true
+		response, complete = protocol.Response{Outcome: decision.OutcomeError, Malformed: true}, true
 	}
 	if !complete {
 		return true
