--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -94,6 +94,7 @@
 	endpoint.inFlight, endpoint.lastAttemptAt = append(endpoint.inFlight, attempt), now
 	endpoint.recentAttempts.Add(now, max(lb.slowStart.overloadSpan, canaryShareSpan))
 	lb.countExposure(attempt, now)
+	lb.holdKey(attempt)
 	// The attempt may use all the time that the client still waits. With a shorter timeout, an endpoint may go on
 	// working on an abandoned attempt that its concurrency limit no longer counts, which makes an overload worse.
 	// cancelSilentAttempts detects silent endpoints instead.
@@ -135,6 +136,7 @@
 // endAttempt removes an attempt from the attempts in flight.
 func (lb *Balancer) endAttempt(attempt *Attempt, outcome Outcome, now monotonic.Time) {
 	attempt.done = true
+	lb.releaseKey(attempt)
 	attempt.request.inFlight--
 	lb.admission.window.AttemptFinished(now)
 	if !attempt.endpointSilent {
--- a/decision/canary.go
+++ b/decision/canary.go
@@ -127,15 +127,30 @@
 	return stableCapacity == 0 || float64(len(endpoint.inFlight)) < 1+limitFactor*stableInFlight/stableCapacity*lb.relativeCapacity(endpoint)
 }
 
-// bindKey binds a sticky key to the build that answered it, or may have, so that the key goes to no earlier build. It applies to the
-// newest build in its canary phase or after its release, and to builds that are not announced yet. It reports whether
-// the key was not bound to the build or a later one before.
-func (lb *Balancer) bindKey(key uint64, build int) (bound bool) {
+// bindsKeys reports whether a sticky key goes to no earlier build once a build has answered it: the newest build in its
+// canary phase or after its release, and builds that are not announced yet.
+func (lb *Balancer) bindsKeys(build int) bool {
 	canary := &lb.canary
-	if build > canary.build || build == canary.build && (canary.phase == PhaseCanary || canary.phase == PhaseReleased) {
-		return canary.stickyKeys.RecordAnswer(key, build, lb.rollout.build)
+	return build > canary.build || build == canary.build && (canary.phase == PhaseCanary || canary.phase == PhaseReleased)
+}
+
+// holdKey keeps the sticky key of an attempt from earlier builds until the attempt ends, as its answer may be on its
+// way.
+func (lb *Balancer) holdKey(attempt *Attempt) {
+	if lb.bindsKeys(attempt.build) {
+		lb.canary.stickyKeys.Hold(attempt.request.key, attempt.build)
 	}
-	return false
+}
+
+// releaseKey ends holdKey.
+func (lb *Balancer) releaseKey(attempt *Attempt) {
+	lb.canary.stickyKeys.Release(attempt.request.key, attempt.build)
+}
+
+// bindKey binds a sticky key to the build that answered it, or may have, so that the key goes to no earlier build. It
+// reports whether the key was not bound to the build or a later one before.
+func (lb *Balancer) bindKey(key uint64, build int) (bound bool) {
+	return lb.bindsKeys(build) && lb.canary.stickyKeys.RecordAnswer(key, build, lb.rollout.build)
 }
 
 // RolloutStatus is the status of the newest build as reported by the rollout controller.
--- a/decision/exposure/exposure_test.go
+++ b/decision/exposure/exposure_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+func TestHeldKeyAvoidsEarlierBuildsUntilEachHoldEnds(t *testing.T) {
+	keys := NewStickyKeys()
+	keys.Hold(7, 2)
+	keys.Hold(7, 2)
+	if keys.Allows(7, 1) || !keys.Allows(7, 2) || !keys.Allows(7, 3) || !keys.Allows(8, 1) || !keys.Allows(0, 1) {
+		t.Error("a key that build 2 holds may go to build 1, or a key or build without that restriction is refused")
+	}
+	if keys.Release(7, 2); keys.Allows(7, 1) {
+		t.Error("a key may go to an earlier build although one of two holds is left")
+	}
+	keys.Release(7, 3) // was never held
+	if keys.Release(7, 2); !keys.Allows(7, 1) || len(keys.holders) > 0 {
+		t.Error("a key stays held after both holds have ended")
+	}
+	keys.Hold(7, 3)
+	if keys.RolledBack(3); !keys.Allows(7, 1) || len(keys.holders) > 0 {
+		t.Error("a key stays held by a build after its rollback")
+	}
+}
+
 func TestRareKeysBecomeStickyFirst(t *testing.T) {
 	keys := NewStickyKeys()
 	for range 9 {
@@ -100,6 +120,8 @@
 	keys.RecordAnswer(1, 2, 2)
 	keys.CanaryStarted()
 	keys.RolledBack(2)
+	keys.Hold(1, 2)
+	keys.Release(1, 2)
 	if !keys.Allows(1, 0) || !keys.MayBind(1, 0, 2) {
 		t.Error("a deployment without sticky keys refuses a key")
 	}
