--- a/decision/config.go
+++ b/decision/config.go
@@ -141,7 +141,7 @@
 		slowStart: newSlowStartState(config.SlowStart),
 		rollout:   newRolloutState(config.Rollout, config.Costs, gateways),
 	}
-	lb.endpointList.drainGrace = config.DrainGrace
+	lb.endpointList.terms = discovery.Terms{DrainGrace: config.DrainGrace, Pushed: !config.PollDiscovery}
 	if config.PollDiscovery {
 		lb.endpointList.polling = discovery.NewPacing()
 	}
--- a/decision/discovery/lease.go
+++ b/decision/discovery/lease.go
@@ -24,17 +24,31 @@
 	PartialResponseLease = 700 * time.Millisecond
 	// BrokenResponseLease is how long the list is trusted after a response of discovery has broken off incomplete.
 	BrokenResponseLease = 200 * time.Millisecond
-	// InitialLease is how long the list that a gateway starts with is trusted. The list may be old, and the gateway
-	// may be considered notified of changes to it from the start.
+	// InitialLease is how long the list that a gateway starts with is trusted. The list may be old.
 	InitialLease = time.Second
 	// MovedLease is how long the list is trusted after discovery has moved to another address. Gateways are considered
 	// notified of changes at discovery from the move on.
 	MovedLease = 4 * time.Second
 )
 
+// Terms are the properties of a deployment on which a lease depends.
+type Terms struct {
+	// DrainGrace is how long attempts at an endpoint may still start after a gateway is notified that it drains or is gone.
+	DrainGrace time.Duration
+	Pushed     bool // discovery pushes changes, so that a gateway is considered notified of what it has from its start on
+}
+
+// withinGrace limits how long the list is trusted after a time from which changes to it may count as notified although
+// they have not arrived here. The process may be held up twice before an attempt is written: before it reads the time,
+// and before it writes.
+func (t Terms) withinGrace(limit time.Duration) time.Duration {
+	return max(0, min(limit, t.DrainGrace-2*maxWriteDelay))
+}
+
 // Lease tracks how long the current endpoint list is trusted. The zero value trusts the list without limit.
 type Lease struct {
 	enabled     bool
+	terms       Terms
 	expiresAt   monotonic.Time
 	confirmedAt monotonic.Time // the latest time for which the current list was confirmed
 	// suspectAt is the latest call of Suspect. Gateways may be considered notified of changes made before it,
@@ -43,8 +57,12 @@
 }
 
 // Start enables the lease: from now on the list is trusted only while the lease is valid. The first lease is short.
-func (l *Lease) Start(now monotonic.Time) {
-	*l = Lease{enabled: true, expiresAt: now + InitialLease}
+func (l *Lease) Start(terms Terms, now monotonic.Time) {
+	initial := InitialLease
+	if terms.Pushed {
+		initial = terms.withinGrace(InitialLease)
+	}
+	*l = Lease{enabled: true, terms: terms, expiresAt: now + initial}
 }
 
 // Confirm renews the lease: at the given time the list was current with respect to drains and removals.
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -25,13 +25,15 @@
 // StartLease starts the first lease on the endpoint list. From then on the list is trusted only while a lease is valid.
 // Without a call of StartLease the list is trusted indefinitely, as is right if discovery pushes each change and
 // reports when it cannot.
-func (lb *Balancer) StartLease(now monotonic.Time) { lb.endpointList.lease.Start(now) }
+func (lb *Balancer) StartLease(now monotonic.Time) {
+	lb.endpointList.lease.Start(lb.endpointList.terms, now)
+}
 
 // WatchPushedList schedules the calls that open the watch over which discovery pushes changes of the endpoint list, the
 // first one at once, and open it again when it has broken. Without a call of WatchPushedList changes are pushed without
 // a watch.
 func (lb *Balancer) WatchPushedList() {
-	lb.endpointList.polling = discovery.NewPushPacing(lb.endpointList.drainGrace)
+	lb.endpointList.polling = discovery.NewPushPacing(lb.endpointList.terms.DrainGrace)
 }
 
 // EndpointListConfirmed renews the lease: according to an answer of discovery, or to a peer that got one, the current
@@ -125,7 +127,7 @@
 
 // endpointListState is the state of the endpoint list as a whole.
 type endpointListState struct {
-	drainGrace       time.Duration // see Config.DrainGrace
+	terms            discovery.Terms
 	lease            discovery.Lease
 	polling          discovery.Pacing
 	maxFleetCapacity float64 // largest total relative capacity of the ready endpoints so far, see updateFleetSize
--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -92,6 +92,25 @@
 	}
 }
 
+// Discovery that pushes changes has listed a drain before this gateway starts. Guards against attempts at the endpoint
+// after the grace period, which counts from the start: the list that a gateway starts with was trusted for a second,
+// whatever the grace period.
+func TestInitialPushedListIsTrustedWithinDrainGrace(t *testing.T) {
+	for _, grace := range []time.Duration{200 * millisecond, 250 * millisecond, 700 * millisecond, second} {
+		gateway := withEndpoints(newTestGateway(3, PromoteByAnyVote), 2)
+		gateway.balancer.endpointList.terms.DrainGrace = grace
+		gateway.balancer.StartLease(gateway.now)
+		latest := gateway.now + grace - maxHarmlessStall // an attempt may be written this much later
+		if n := len(gateway.allowedEndpoints(latest)); n != 0 {
+			t.Errorf("grace period %v: %d endpoints get requests at the end of the grace period by an unconfirmed list, want none", grace, n)
+		}
+		gateway.balancer.EndpointListConfirmed(latest)
+		if n := len(gateway.allowedEndpoints(latest)); n != 2 {
+			t.Errorf("grace period %v: %d endpoints get requests once the list is confirmed, want 2", grace, n)
+		}
+	}
+}
+
 // After a stall no attempt starts until messages that arrived during the stall can have been read. After a long stall
 // the endpoint list must be confirmed as well.
 func TestStalledProcessStartsNoAttempts(t *testing.T) {
--- a/decision/testgateway_test.go
+++ b/decision/testgateway_test.go
@@ -55,10 +55,11 @@
 				DedupScope: ScopeCell, DedupWindow: second},
 			{LatencyObjective: second, ClientTimeout: 2 * second, PriorityWeight: 3, LateValueShare: 0.2, Idempotency: NonIdempotent},
 		},
-		Attempts:  AttemptConfig{Max: 3, MayCancel: true, MaxRetryAfter: 500 * millisecond},
-		Costs:     CostConfig{Lag: 0.3, Harm: 8},
-		SlowStart: SlowStartConfig{InitialCapacity: 0.4, WarmUp: 4 * second, OverloadMultiple: 4, OverloadSpan: testOverloadSpan},
-		Exposure:  ExposureConfig{Window: testWindow, Allowance: testAllowance, StageCaps: []float64{0.1, 0.5, 1}},
+		Attempts:   AttemptConfig{Max: 3, MayCancel: true, MaxRetryAfter: 500 * millisecond},
+		Costs:      CostConfig{Lag: 0.3, Harm: 8},
+		DrainGrace: second,
+		SlowStart:  SlowStartConfig{InitialCapacity: 0.4, WarmUp: 4 * second, OverloadMultiple: 4, OverloadSpan: testOverloadSpan},
+		Exposure:   ExposureConfig{Window: testWindow, Allowance: testAllowance, StageCaps: []float64{0.1, 0.5, 1}},
 		Rollout: RolloutConfig{Mode: mode, PromoteVotes: votes, RollbackVotes: votes,
 			StageShares: []float64{0.1, 0.4, 1}, VoteTTL: 6 * second, AnswerTimeout: second, PeerMessages: true}})
 	if err != nil {
