--- a/decision/discovery/lease.go
+++ b/decision/discovery/lease.go
@@ -18,11 +18,12 @@
 	// LeaseTTL is how long the list, or an endpoint's proof of readiness, is trusted, counted from the time for which
 	// it was confirmed.
 	LeaseTTL = ChangeNotifiedWithin - DrainSettleTime/2
-	// PartialResponseLease is how long the list is trusted after a response of discovery has begun to arrive and
-	// until it is complete: gateways are considered notified of the changes in a response from the time it was
-	// written. Together with the longest stall of a gateway this is shorter than the grace period of a drain.
+	// PartialResponseLease is the longest time for which the list is trusted after a response of discovery has begun to
+	// arrive and until it is complete: gateways are considered notified of the changes in a response from the time it was
+	// written. Where the grace period of a drain is short, the time is shorter.
 	PartialResponseLease = 700 * time.Millisecond
-	// BrokenResponseLease is how long the list is trusted after a response of discovery has broken off incomplete.
+	// BrokenResponseLease is the longest time for which the list is trusted after a response of discovery has broken off
+	// incomplete.
 	BrokenResponseLease = 200 * time.Millisecond
 	// InitialLease is how long the list that a gateway starts with is trusted. The list may be old.
 	InitialLease = time.Second
@@ -89,6 +90,16 @@
 	l.suspectAt = max(l.suspectAt, now)
 }
 
+// ResponseStarted shortens the lease because a response of discovery has begun to arrive.
+func (l *Lease) ResponseStarted(now monotonic.Time) {
+	l.Suspect(now, l.terms.withinGrace(PartialResponseLease))
+}
+
+// ResponseBroken shortens the lease because a response of discovery began and did not become complete.
+func (l *Lease) ResponseBroken(now monotonic.Time) {
+	l.Suspect(now, l.terms.withinGrace(BrokenResponseLease))
+}
+
 // Valid reports whether the whole list is trusted.
 func (l *Lease) Valid(now monotonic.Time) bool { return !l.enabled || now < l.expiresAt }
 
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -64,12 +64,12 @@
 
 // DiscoveryResponseStarted shortens the lease because a response of discovery has begun to arrive.
 func (lb *Balancer) DiscoveryResponseStarted(now monotonic.Time) {
-	lb.endpointList.lease.Suspect(now, discovery.PartialResponseLease)
+	lb.endpointList.lease.ResponseStarted(now)
 }
 
 // DiscoveryResponseBroken shortens the lease because a response of discovery began and did not become complete.
 func (lb *Balancer) DiscoveryResponseBroken(now monotonic.Time) {
-	lb.endpointList.lease.Suspect(now, discovery.BrokenResponseLease)
+	lb.endpointList.lease.ResponseBroken(now)
 }
 
 // DiscoveryMoved shortens the lease because discovery is called at another address from now on.
--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -111,6 +111,26 @@
 	}
 }
 
+// A response of discovery begins to arrive and is not completed, or breaks off. Guards against attempts at an endpoint
+// that it lists as draining: the list before it was trusted for a fixed time, whatever the grace period.
+func TestListIsTrustedWithinDrainGraceOfIncompleteResponse(t *testing.T) {
+	for name, suspect := range map[string]func(lb *Balancer, now time.Duration){
+		"started": (*Balancer).DiscoveryResponseStarted, "broken off": (*Balancer).DiscoveryResponseBroken,
+	} {
+		for _, grace := range []time.Duration{200 * millisecond, 250 * millisecond, 700 * millisecond, second} {
+			gateway := withEndpoints(newTestGateway(3, PromoteByAnyVote), 2)
+			gateway.balancer.endpointList.terms.DrainGrace = grace
+			gateway.balancer.StartLease(gateway.now)
+			gateway.balancer.EndpointListConfirmed(gateway.now)
+			at := gateway.now + second
+			suspect(gateway.balancer, at)
+			if n := len(gateway.allowedEndpoints(at + grace - maxHarmlessStall)); n != 0 {
+				t.Errorf("response %s, grace period %v: %d endpoints get requests at the end of the grace period, want none", name, grace, n)
+			}
+		}
+	}
+}
+
 // After a stall no attempt starts until messages that arrived during the stall can have been read. After a long stall
 // the endpoint list must be confirmed as well.
 func TestStalledProcessStartsNoAttempts(t *testing.T) {
