--- a/decision/discovery/lease.go
+++ b/decision/discovery/lease.go
@@ -55,6 +55,8 @@
 	// suspectAt is the latest call of Suspect. Gateways may be considered notified of changes made before it,
 	// although none has arrived here, so confirmations for this time or earlier ones are invalid.
 	suspectAt monotonic.Time
+	// moveNotifiedAt is when gateways count as notified of what discovery had by then, after its latest move.
+	moveNotifiedAt monotonic.Time
 }
 
 // Start enables the lease: from now on the list is trusted only while the lease is valid. The first lease is short.
@@ -100,6 +102,12 @@
 	l.Suspect(now, l.terms.withinGrace(BrokenResponseLease))
 }
 
+// DiscoveryMoved shortens the lease because discovery is called at another address from now on.
+func (l *Lease) DiscoveryMoved(now monotonic.Time) {
+	l.Suspect(now, MovedLease)
+	l.moveNotifiedAt = now + MovedLease
+}
+
 // Valid reports whether the whole list is trusted.
 func (l *Lease) Valid(now monotonic.Time) bool { return !l.enabled || now < l.expiresAt }
 
@@ -110,11 +118,22 @@
 	return connectionOpenedAt <= l.confirmedAt
 }
 
-// Trusted reports whether the list may be relied on for an endpoint: while the lease is valid, or for LeaseTTL after
+// Trusted reports whether the list may be relied on for an endpoint: while the lease is valid, or for some time after
 // the latest time at which the endpoint proved that it was not draining.
 func (l *Lease) Trusted(provedReadyAt, now monotonic.Time) bool {
 	if l.Valid(now) {
 		return true
 	}
-	return provedReadyAt > l.suspectAt+DrainSettleTime && now < provedReadyAt+LeaseTTL
+	return provedReadyAt > l.suspectAt+DrainSettleTime && now < l.proofExpiry(provedReadyAt)
+}
+
+// proofExpiry returns until when an endpoint is trusted that has proved at the given time that it was not draining:
+// for LeaseTTL, unless discovery has moved and the endpoint may have begun to drain before gateways count as notified
+// of that.
+func (l *Lease) proofExpiry(provedReadyAt monotonic.Time) monotonic.Time {
+	expiry := provedReadyAt + LeaseTTL
+	if provedReadyAt < l.moveNotifiedAt+DrainSettleTime/2 {
+		expiry = min(expiry, l.moveNotifiedAt+l.terms.withinGrace(LeaseTTL))
+	}
+	return expiry
 }
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -74,7 +74,7 @@
 
 // DiscoveryMoved shortens the lease because discovery is called at another address from now on.
 func (lb *Balancer) DiscoveryMoved(now monotonic.Time) {
-	lb.endpointList.lease.Suspect(now, discovery.MovedLease)
+	lb.endpointList.lease.DiscoveryMoved(now)
 }
 
 // DiscoveryFailed records that a call to discovery failed or a watch broke. The next call comes after a pause.
--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -131,6 +131,32 @@
 	}
 }
 
+// Discovery has moved and does not answer. Guards against attempts at an endpoint that began to drain after it had proved
+// its readiness: what the moved discovery has to tell counts as notified MovedLease after the move, but a proof from
+// before that was trusted for as long as any other.
+func TestProofFromBeforeMoveCountsAsNotifiedEndsWithDrainGrace(t *testing.T) {
+	gateway := withLease(3)
+	movedAt := gateway.now + second
+	notifiedAt := movedAt + discovery.MovedLease
+	gateway.balancer.DiscoveryMoved(movedAt)
+	served := func(endpoint int, sentAt time.Duration) {
+		gateway.balancer.AttemptServed(&Attempt{endpoint: gateway.endpoints[endpoint], build: 1, sentAt: sentAt}, gateway.now)
+	}
+	served(0, movedAt+2*second)
+	served(1, notifiedAt+400*millisecond) // may still serve although it began to drain just before notifiedAt
+	served(2, notifiedAt+discovery.DrainSettleTime/2)
+	if allowed := gateway.allowedEndpoints(notifiedAt + 500*millisecond); len(allowed) != 3 {
+		t.Errorf("endpoints %v get requests within the grace period, want all", allowed)
+	}
+	if allowed := gateway.allowedEndpoints(notifiedAt + second - maxHarmlessStall); len(allowed) != 1 || allowed[0] != 2 {
+		t.Errorf("endpoints %v get requests at the end of the grace period, want only endpoint 2, which served since", allowed)
+	}
+	gateway.balancer.EndpointListConfirmed(notifiedAt + second)
+	if allowed := gateway.allowedEndpoints(notifiedAt + second); len(allowed) != 3 {
+		t.Errorf("endpoints %v get requests once the list is confirmed, want all", allowed)
+	}
+}
+
 // After a stall no attempt starts until messages that arrived during the stall can have been read. After a long stall
 // the endpoint list must be confirmed as well.
 func TestStalledProcessStartsNoAttempts(t *testing.T) {
