--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -25,8 +25,8 @@
 
 	started        bool           // Tick has been called
 	catchUpUntil   monotonic.Time // after a stall of the process, no attempt starts before this time
-	stallBeganAt   monotonic.Time // start of the latest stall that was longer than maxHarmlessStall
-	stallNoticedAt monotonic.Time // when that stall was noticed
+	stallBeganAt   monotonic.Time // start of the earliest stall from which messages may still be unread
+	stallNoticedAt monotonic.Time // when the latest stall that was longer than maxHarmlessStall was noticed
 
 	opTypes        []*OpType
 	endpoints      []*Endpoint // endpoints on the endpoint list, and endpoints with attempts in flight
--- a/decision/endpointlist.go
+++ b/decision/endpointlist.go
@@ -92,8 +92,11 @@
 // attempt starts for minCatchUpPause. After a stall longer than maxTrustedStall the endpoint list is not trusted until
 // it is confirmed again, as the call for the list may have timed out with its answer unread.
 func (lb *Balancer) ProcessStalled(span time.Duration, now monotonic.Time) {
+	if beganAt := now - span; beganAt >= lb.catchUpUntil { // otherwise, messages from an earlier stall may be unread too
+		lb.stallBeganAt = beganAt
+	}
 	if span > maxHarmlessStall {
-		lb.stallBeganAt, lb.stallNoticedAt, lb.catchUpUntil = now-span, now, now+minCatchUpPause
+		lb.stallNoticedAt, lb.catchUpUntil = now, now+minCatchUpPause
 	}
 	if span > maxTrustedStall {
 		lb.endpointList.lease.Suspect(now, 0)
--- a/decision/endpointlist_test.go
+++ b/decision/endpointlist_test.go
@@ -216,3 +216,23 @@
 		t.Errorf("%d endpoints get requests without a lease, want 2", n)
 	}
 }
+
+// A second stall begins while messages from the first are unread. An answer that is read then may have been sent before
+// the first stall, so it renews the lease from the beginning of that one.
+func TestAnswerReadAfterTwoStallsRenewsLeaseFromStartOfFirst(t *testing.T) {
+	gateway := withLease(2)
+	began := gateway.now + second
+	first, second := began+400*millisecond, began+700*millisecond
+	gateway.balancer.ProcessStalled(400*millisecond, first)
+	gateway.balancer.AwaitCatchUp(first)
+	gateway.balancer.ProcessStalled(200*millisecond, second)
+	gateway.balancer.AwaitCatchUp(second)
+	gateway.balancer.EndpointListConfirmed(second + millisecond)
+	gateway.balancer.CaughtUp(second + millisecond)
+	if n := len(gateway.allowedEndpoints(began + discovery.LeaseTTL - millisecond)); n != 2 {
+		t.Errorf("%d endpoints get requests while the lease renewed by the answer is valid, want 2", n)
+	}
+	if allowed := gateway.allowedEndpoints(began + discovery.LeaseTTL); len(allowed) != 0 {
+		t.Errorf("endpoints %v get requests because of an answer from before the first stall, want none", allowed)
+	}
+}
