--- a/internal/routing/stall.go
+++ b/internal/routing/stall.go
@@ -20,7 +20,7 @@
 // again. It detects nothing until start is called, for example in tests that call turn themselves.
 type stallDetector struct {
 	clockReadAt monotonic.Time // 0 before the start
-	nextTurnBy  monotonic.Time
+	nextTurnBy  monotonic.Time // 0 if the clock has been read since the end of the latest turn
 }
 
 func (d *stallDetector) start(now monotonic.Time) { d.clockReadAt = now }
@@ -35,6 +35,7 @@
 	}
 	lateBy := now - max(d.clockReadAt, d.nextTurnBy)
 	d.clockReadAt = now
+	d.nextTurnBy = 0 // the wait is over, even if an event ended it early
 	return lateBy
 }
 
