--- a/review/driver/endpoint.go
+++ b/review/driver/endpoint.go
@@ -69,13 +69,14 @@
 	started int64 // Unix time in ms, 0 if long ago
 	phase   string
 
-	cores    chan struct{}
-	work     func(class string) time.Duration
-	size     func(c command) int // of the value
-	hanging  atomic.Bool         // takes commands and answers none
-	after    func(c command, conn net.Conn, answer []byte)
-	busy     atomic.Int64
-	requests sync.Map // by connection, the number of requests that have come on it
+	cores     chan struct{}
+	work      func(class string) time.Duration
+	size      func(c command) int // of the value
+	hanging   atomic.Bool         // takes commands and answers none
+	after     func(c command, conn net.Conn, answer []byte)
+	turnsAway func() bool // whether the queue is full, nil for never
+	busy      atomic.Int64
+	requests  sync.Map // by connection, the number of requests that have come on it
 }
 
 // requestsOn returns how many requests have come on a connection, or -1 if it has ended.
@@ -133,12 +134,22 @@
 			io.Copy(io.Discard, reader)
 			return
 		}
+		if e.turnsAway != nil && e.turnsAway() {
+			answer := []byte("-BUSY\r\n")
+			e.w.note("%s turns %s away", e.id, c.id())
+			conn.Write(answer)
+			if e.after != nil {
+				e.after(c, conn, answer)
+			}
+			continue
+		}
 		e.cores <- struct{}{}
 		if time.Since(now) > time.Duration(told)*time.Millisecond {
 			<-e.cores
 			conn.Write([]byte("-BUSY\r\n"))
 			continue
 		}
+		e.w.began(c.id(), e.id)
 		e.busy.Add(1)
 		time.Sleep(e.work(c.attribute("c")))
 		load := float64(e.busy.Load()) / float64(cap(e.cores))
--- a/review/driver/foreign.go
+++ b/review/driver/foreign.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand"
-	"net"
 	"sync/atomic"
 	"time"
 )
@@ -11,9 +9,7 @@
 func init() { cases["foreign"] = playForeign }
 
 const (
-	secondCopyDelay = 22 * time.Millisecond  // from an answer to its second copy
-	secondCopyShare = 0.1                    // of the answers
-	zoneDelay       = 780 * time.Microsecond // one way to the other site
+	secondCopyShare = 0.1 // of the answers
 	foreignSpan     = 45 * time.Second
 	foreignRate     = 120.0 // requests a second
 )
@@ -30,20 +26,7 @@
 		if !troubled() {
 			continue
 		}
-		e.after = func(c command, conn net.Conn, answer []byte) {
-			if rand.Float64() >= secondCopyShare {
-				return
-			}
-			requests := e.requestsOn(conn)
-			time.AfterFunc(secondCopyDelay, func() {
-				if e.requestsOn(conn) != requests {
-					return // the next request has come: the second copy is no longer one of a resting connection
-				}
-				copies.Add(1)
-				w.note("%s sends a second answer to %s", e.id, c.id())
-				conn.Write(answer)
-			})
-		}
+		e.after = e.sendsSecondCopies(secondCopyShare, &copies)
 	}
 	g := w.newGateway(nil)
 	if err := g.start(); err != nil {
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -23,6 +23,7 @@
 	record    *os.File
 	lines     *bufio.Writer
 	arrivals  map[string][]arrival // by request id
+	runs      map[string][]string  // by request id, the instances that have begun it
 	endpoints []*endpoint
 	gateways  []*gatewayProcess
 	closers   []func()
@@ -48,7 +49,7 @@
 		return nil, err
 	}
 	w := &world{started: time.Now(), folder: folder, record: record, lines: bufio.NewWriter(record),
-		arrivals: map[string][]arrival{}}
+		arrivals: map[string][]arrival{}, runs: map[string][]string{}}
 	w.discovery = newDiscovery(w)
 	w.platform = newPlatform(w)
 	return w, nil
@@ -77,6 +78,13 @@
 	w.mu.Unlock()
 }
 
+// began records that an instance has begun a request.
+func (w *world) began(id, endpoint string) {
+	w.mu.Lock()
+	w.runs[id] = append(w.runs[id], endpoint)
+	w.mu.Unlock()
+}
+
 func (w *world) close() {
 	for _, g := range w.gateways {
 		g.kill()
