--- a/cmd/gateway/build.go
+++ b/cmd/gateway/build.go
@@ -249,6 +249,7 @@
 		Budget:          g.budget,
 		Log:             g.limitedLog,
 		MaxRequestBytes: g.configuration.maxRequestBytes(),
+		RetryAfter:      g.configuration.balancerConfig.Attempts.MaxRetryAfter,
 		MaxRemaining:    g.configuration.settings.MaxClientTimeout,
 		OpTypes:         g.configuration.opTypes,
 		OnRequest: func(request protocol.Request, response *transport.PendingResponse) {
--- a/cmd/gateway/configuration.go
+++ b/cmd/gateway/configuration.go
@@ -15,7 +15,7 @@
 // Shares of the memory limit.
 const (
 	softMemoryLimitShare = 0.7  // the Go runtime's soft limit, near which it collects garbage more often
-	requestBytesShare    = 0.25 // for requests in flight, whose response values may take as much again
+	requestBytesShare    = 0.25 // for requests received or in flight, whose response values may take as much again
 )
 
 // configuration is the validated configuration of a gateway, from its configuration file and the environment.
@@ -75,7 +75,7 @@
 	return c.file.Peers.Listen != "" && c.balancerConfig.Rollout.PeerMessages && c.balancerConfig.Gateways > 1
 }
 
-// maxRequestBytes returns the limit on the total size of requests in flight.
+// maxRequestBytes returns the limit on the memory that requests take, in bytes.
 func (c *configuration) maxRequestBytes() int64 {
 	return int64(requestBytesShare * float64(c.file.Limits.MemoryBytes))
 }
--- a/internal/protocol/requestscanner.go
+++ b/internal/protocol/requestscanner.go
@@ -27,25 +27,32 @@
 	scanned       int  // bytes of the current request that have been scanned and are still in the buffer
 	remainingArgs int  // arguments of the current request that have not been scanned
 	started       bool // the array header of the current request has been scanned
-	tooLarge      bool // the current request is too large and is being skipped
+	skipping      bool // the current request is too large, or Skip was called, and its bytes are removed as they arrive
 	bytesToSkip   int  // bytes of the current argument that are still to be skipped
 }
 
 // Started reports whether the current request has started. The buffer may be empty then, as skipped bytes are removed.
 func (s *RequestScanner) Started() bool { return s.started }
 
+// Skip removes what has arrived of the current request from the buffer, and makes Next remove the rest as it arrives. It
+// may be called only if Started returns true.
+func (s *RequestScanner) Skip(b *Buffer) {
+	b.Discard(s.scanned)
+	s.scanned, s.skipping = 0, true
+}
+
 // Next returns the size of the complete request at the start of the buffer, or 0 if the request is not complete yet.
-// For a request that is too large it returns size 0 and tooLarge once all of the request has been removed from the
-// buffer. After an error the rest of the input cannot be parsed.
-func (s *RequestScanner) Next(b *Buffer) (size int, tooLarge bool, err error) {
+// For a request that is skipped, because it is too large or by Skip, it returns size 0 and skipped once all of the
+// request has been removed from the buffer. After an error the rest of the input cannot be parsed.
+func (s *RequestScanner) Next(b *Buffer) (size int, skipped bool, err error) {
 	for {
-		if s.skip(b); s.bytesToSkip > 0 {
+		if s.removeSkipped(b); s.bytesToSkip > 0 {
 			return 0, false, nil
 		}
 		if s.started && s.remainingArgs == 0 {
-			size, tooLarge = s.scanned, s.tooLarge
+			size, skipped = s.scanned, s.skipping
 			*s = RequestScanner{}
-			return size, tooLarge, nil
+			return size, skipped, nil
 		}
 		rest := b.Bytes()[s.scanned:]
 		if len(rest) == 0 {
@@ -72,8 +79,8 @@
 	}
 }
 
-// skip removes the bytes to be skipped from the buffer, as far as they have arrived.
-func (s *RequestScanner) skip(b *Buffer) {
+// removeSkipped removes the bytes to be skipped from the buffer, as far as they have arrived.
+func (s *RequestScanner) removeSkipped(b *Buffer) {
 	n := min(s.bytesToSkip, len(b.Bytes()))
 	b.Discard(n)
 	s.bytesToSkip -= n
@@ -90,7 +97,7 @@
 }
 
 // scanArgument scans the argument with this header. It reports false while the argument is not complete, except that an
-// argument of a request that is too large does not have to be complete, as its bytes are skipped.
+// argument of a skipped request does not have to be complete, as its bytes are removed later.
 func (s *RequestScanner) scanArgument(b *Buffer, header requestHeader) (complete bool, err error) {
 	if header.prefix != '$' || header.length > maxSkippedArgumentSize {
 		return false, errFramingLost
@@ -98,9 +105,9 @@
 	rest := b.Bytes()[s.scanned:]
 	size := header.size + header.length + len(lineEnd)
 	switch {
-	case s.tooLarge || s.scanned+size > MaxRequestSize || header.length > MaxValueSize:
-		b.Discard(s.scanned)
-		s.tooLarge, s.scanned, s.bytesToSkip = true, 0, size
+	case s.skipping || s.scanned+size > MaxRequestSize || header.length > MaxValueSize:
+		s.Skip(b)
+		s.bytesToSkip = size
 	case len(rest) < size:
 		return false, nil
 	case string(rest[size-len(lineEnd):size]) != lineEnd:
--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -37,7 +37,9 @@
 
 	// The fields of this group are used only by the goroutine that reads the connection.
 	buffer       *protocol.Buffer
+	bufferMemory int64 // bytes of the request memory that the buffer takes
 	scanner      protocol.RequestScanner
+	shedding     bool      // the current request is skipped for lack of memory
 	handedOver   bool      // redcon has read handoverCommand
 	receivedAt   time.Time // when the last of the bytes read so far arrived
 	partialSince time.Time // since when the buffer has held an incomplete request; zero if it holds none
--- a/internal/transport/client_listener_test.go
+++ b/internal/transport/client_listener_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// The time that a request waits within the server, for a descriptor or for memory, counts towards its deadline.
+// The time that a request waits within the server, for example for a descriptor, counts towards its deadline.
 func TestRequestTimeIncludesWaitInServer(t *testing.T) {
 	const elapsed = time.Minute
 	var remaining time.Duration
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +8,8 @@
 
 	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
+
+	"laurelring/internal/protocol"
 )
 
 const (
@@ -36,8 +37,18 @@
 // Error returns the text for the client.
 func (e malformedRequestError) Error() string { return string(e) }
 
-// errRequestIncomplete means that the buffer does not hold a complete request yet.
-var errRequestIncomplete = errors.New("request incomplete")
+var (
+	// errRequestIncomplete means that the buffer does not hold a complete request yet.
+	errRequestIncomplete = errors.New("request incomplete")
+	// errOutOfMemory means that a complete request was received and dropped, as there is no memory for it.
+	errOutOfMemory = errors.New("no memory for the request")
+)
+
+// receivedRequest is a complete request with the bytes of the request memory that it takes.
+type receivedRequest struct {
+	command redcon.Command
+	memory  int64
+}
 
 // handoverCommand is the command that redcon reads first on each connection. Its handler is detachFromRedcon.
 var handoverCommand = []byte("*1\r\n$5\r\nBEGIN\r\n")
@@ -54,14 +65,15 @@
 }
 
 // readRequest waits for the next request. A malformedRequestError says what is wrong with the input received instead of
-// a request. Any other error means that the connection was closed by the client or by the gateway.
-func (c *clientConnection) readRequest() (redcon.Command, error) {
+// a request, and errOutOfMemory that a request was dropped. Any other error means that the connection was closed by the
+// client or by the gateway. The caller releases the memory of the request.
+func (c *clientConnection) readRequest() (receivedRequest, error) {
 	for {
-		command, err := c.parseBuffered()
+		request, err := c.parseBuffered()
 		if errors.Is(err, errRequestIncomplete) {
 			if c.setReadDeadline() {
 				if err := c.receive(); err != nil {
-					return redcon.Command{}, err
+					return receivedRequest{}, err
 				}
 				continue
 			}
@@ -69,37 +81,82 @@
 		}
 		c.partialSince = time.Time{}
 		if !c.beginRequest() { // the request arrived while the connection was being closed
-			return redcon.Command{}, io.EOF
+			c.server.memory.release(request.memory)
+			return receivedRequest{}, io.EOF
 		}
-		return command, err
+		return request, err
 	}
 }
 
 // parseBuffered removes the next complete request from the buffer and returns it. It returns
 // errRequestIncomplete if the buffer holds none.
-func (c *clientConnection) parseBuffered() (redcon.Command, error) {
-	size, tooLarge, err := c.scanner.Next(c.buffer)
+func (c *clientConnection) parseBuffered() (receivedRequest, error) {
+	size, skipped, err := c.scanner.Next(c.buffer)
 	switch {
 	case err != nil:
 		c.framingLost = true
-		return redcon.Command{}, errProtocol
-	case tooLarge:
-		return redcon.Command{}, errRequestTooLarge
+		return receivedRequest{}, errProtocol
+	case skipped && c.shedding:
+		c.shedding = false
+		return receivedRequest{}, errOutOfMemory
+	case skipped:
+		return receivedRequest{}, errRequestTooLarge
 	case size == 0:
-		return redcon.Command{}, errRequestIncomplete
+		return receivedRequest{}, errRequestIncomplete
+	}
+	raw, memory, err := c.takeRequest(size)
+	if err != nil {
+		return receivedRequest{}, err
 	}
-	raw := bytes.Clone(c.buffer.Bytes()[:size])
-	c.buffer.Discard(size)
 	command, err := redcon.Parse(raw)
 	if err != nil {
 		c.framingLost = true
-		return command, errProtocol
+		c.server.memory.release(memory)
+		return receivedRequest{}, errProtocol
+	}
+	return receivedRequest{command, memory}, nil
+}
+
+// takeRequest removes a complete request of the given size from the buffer. It returns the request and the bytes of the
+// request memory that it takes, or errOutOfMemory if it is dropped.
+func (c *clientConnection) takeRequest(size int) (raw []byte, memory int64, err error) {
+	raw, rawSize := c.buffer.Take(size)
+	memory = requestOverhead + int64(rawSize)
+	bufferBefore := c.bufferMemory
+	c.bufferMemory = bufferMemory(c.buffer.Size())
+	if !c.server.memory.beginRequest(bufferBefore, c.bufferMemory, memory) {
+		return nil, 0, errOutOfMemory
 	}
-	return command, nil
+	return raw, memory, nil
+}
+
+// bufferMemory returns the bytes of the request memory that a buffer of the given size takes. Each connection has a
+// buffer of the smallest size in any case.
+func bufferMemory(size int) int64 { return int64(max(0, size-protocol.MinBufferSize)) }
+
+// reserveSpace acquires the memory that the buffer needs for the next bytes. If there is none, the current request is
+// skipped, which empties the buffer: only the bytes of a request that has started can make it grow.
+func (c *clientConnection) reserveSpace() {
+	needed := bufferMemory(c.buffer.NextSize())
+	if !c.server.memory.growBuffer(c.bufferMemory, needed) {
+		c.shedding = true
+		c.scanner.Skip(c.buffer)
+		needed = bufferMemory(c.buffer.NextSize()) // not more than before
+		c.server.memory.growBuffer(c.bufferMemory, needed)
+	}
+	c.bufferMemory = needed
+}
+
+// releaseBuffer gives up the buffer and its memory. No further request is read.
+func (c *clientConnection) releaseBuffer() {
+	c.buffer.Release()
+	c.server.memory.release(c.bufferMemory)
+	c.bufferMemory = 0
 }
 
 // receive waits for bytes and reads them into the buffer. Reaching the read deadline before any arrive is not an error.
 func (c *clientConnection) receive() error {
+	c.reserveSpace()
 	space, n := c.buffer.Space(), 0
 	var err error
 	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/tidwall/redcon"
-	"golang.org/x/sync/semaphore"
 
 	"laurelring/decision"
 	"laurelring/internal/protocol"
@@ -33,7 +32,8 @@
 type ClientServer struct {
 	quota        *descriptorQuota
 	log          *RateLimitedLog
-	requestBytes *semaphore.Weighted // bounds the total size of the requests that wait for their responses
+	memory       *requestMemory
+	retryAfter   time.Duration
 	maxRemaining time.Duration
 	overflow     chan struct{} // holds one element for each connection beyond the descriptor limit
 	shortage     *slotShortage
@@ -47,13 +47,15 @@
 	draining    bool
 }
 
-// ClientServerConfig is the configuration of a ClientServer. All fields are required.
+// ClientServerConfig is the configuration of a ClientServer. All fields but RetryAfter are required.
 type ClientServerConfig struct {
 	Budget *DescriptorBudget
 	Log    *RateLimitedLog
-	// MaxRequestBytes bounds the total size of the requests that wait for their responses, over all connections. Beyond
-	// it, connections are not read until responses have been written.
+	// MaxRequestBytes bounds the memory that requests take over all connections, from their first byte until their
+	// responses are written. Beyond it, requests are rejected.
 	MaxRequestBytes int64
+	// RetryAfter is sent with these rejections, and 0 if none is to be sent.
+	RetryAfter time.Duration
 	// MaxRemaining is the longest time until the deadline that a client may state. A longer time is reduced to it.
 	MaxRemaining time.Duration
 	// OpTypes maps a command and the name of an op type, as a request states them, to the op type.
@@ -69,7 +71,7 @@
 	switch {
 	case c.Budget == nil || c.Log == nil:
 		return errors.New("client server needs a descriptor budget and a log")
-	case c.MaxRequestBytes < 0 || c.MaxRemaining < 0:
+	case c.MaxRequestBytes < 0 || c.MaxRemaining < 0 || c.RetryAfter < 0:
 		return errors.New("client server limits must not be negative")
 	case c.OnRequest == nil || c.OnDisconnect == nil:
 		return errors.New("client server needs the callbacks OnRequest and OnDisconnect")
@@ -85,7 +87,8 @@
 	}
 	s := &ClientServer{
 		log:          config.Log,
-		requestBytes: semaphore.NewWeighted(config.MaxRequestBytes),
+		memory:       newRequestMemory(config.MaxRequestBytes),
+		retryAfter:   config.RetryAfter,
 		maxRemaining: config.MaxRemaining,
 		overflow:     make(chan struct{}, config.Budget.overflow),
 		shortage:     newSlotShortage(),
--- a/internal/transport/client_server_test.go
+++ b/internal/transport/client_server_test.go
@@ -75,7 +75,9 @@
 	} else if !server.quota.tryAcquire() {
 		t.Fatal("no descriptor left for the connection")
 	}
+	server.mu.Lock()
 	server.connections = append(server.connections, c)
+	server.mu.Unlock()
 	t.Cleanup(func() { c.Close(); client.Close() })
 	return c, client.(*net.TCPConn)
 }
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
@@ -50,29 +49,40 @@
 func (s *clientSession) readRequests() {
 	c := s.connection
 	for !c.framingLost {
-		command, err := c.readRequest()
+		request, err := c.readRequest()
 		var malformed malformedRequestError
-		if err != nil && !errors.As(err, &malformed) {
+		if err != nil && !errors.As(err, &malformed) && !errors.Is(err, errOutOfMemory) {
 			break
 		}
 		s.startWriter()
 		if s.unanswered = slices.DeleteFunc(s.unanswered, (*PendingResponse).isDone); len(s.unanswered) >= maxPipelinedRequests {
 			c.framingLost, err = true, errTooManyRequests
 		}
-		response := s.enqueueResponse(len(command.Raw))
-		if err == nil {
-			err = c.server.dispatch(command, response, c)
-		}
-		if err != nil {
-			c.server.rejectMalformed(response, err)
-			if !c.framingLost {
-				time.Sleep(malformedRequestDelay)
-			}
-		}
+		s.respond(request, err)
 	}
 	s.finishReading()
 }
 
+// respond passes a request on, or responds to what was received instead, as err says. It pauses after a malformed
+// request.
+func (s *clientSession) respond(request receivedRequest, err error) {
+	c := s.connection
+	response := s.enqueueResponse(request.memory)
+	if err == nil {
+		err = c.server.dispatch(request.command, response, c)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, errOutOfMemory):
+		c.server.rejectOutOfMemory(response)
+	default:
+		c.server.rejectMalformed(response, err)
+		if !c.framingLost {
+			time.Sleep(malformedRequestDelay)
+		}
+	}
+}
+
 // startWriter starts the writer when the first request has been read.
 func (s *clientSession) startWriter() {
 	if !s.writerStarted {
@@ -81,16 +91,14 @@
 	}
 }
 
-// enqueueResponse adds the response to a request to the writer's queue. It blocks while the request, together with the
-// pending requests of all connections, would exceed the memory limit. Writing responses frees memory.
-func (s *clientSession) enqueueResponse(requestBytes int) *PendingResponse {
-	response := newPendingResponse(requestBytes)
-	available := s.connection.server.requestBytes
-	available.Acquire(context.Background(), response.requestBytes)
+// enqueueResponse adds the response to a request to the writer's queue. The memory of the request is released when the
+// response is written.
+func (s *clientSession) enqueueResponse(memory int64) *PendingResponse {
+	response := newPendingResponse(memory)
 	select {
 	case s.responses <- response:
 	case <-s.writerDone:
-		available.Release(response.requestBytes)
+		s.connection.server.memory.release(response.memory)
 	}
 	s.unanswered = append(s.unanswered, response)
 	return response
@@ -100,6 +108,7 @@
 // it reports each request that has no response yet to onDisconnect.
 func (s *clientSession) finishReading() {
 	c := s.connection
+	c.releaseBuffer()
 	close(s.responses)
 	if c.framingLost && !c.awaitDisconnect() {
 		return // the connection was closed after its last response, or the client sends without end
@@ -145,20 +154,26 @@
 	s.log.Warn("malformed request from client", "error", err)
 }
 
+// rejectOutOfMemory responds to a request that was dropped for lack of memory, and logs it.
+func (s *ClientServer) rejectOutOfMemory(response *PendingResponse) {
+	response.Reject(s.retryAfter)
+	s.log.Warn("client request rejected for lack of memory", "used_bytes", s.memory.used(), "limit_bytes", s.memory.limit)
+}
+
 // writeResponses writes the responses until the reader has closed the queue and all are written, or until the client
 // disconnects or does not read them.
 func (s *clientSession) writeResponses() {
-	available := s.connection.server.requestBytes
+	memory := s.connection.server.memory
 	defer func() {
 		close(s.writerDone)
 		s.connection.Close()
 		for response := range s.responses { // until the reader has closed the queue
-			available.Release(response.requestBytes)
+			memory.release(response.memory)
 		}
 	}()
 	for response := range s.responses {
 		written := s.writeResponse(response)
-		available.Release(response.requestBytes)
+		memory.release(response.memory)
 		if !written {
 			return
 		}
--- a/internal/transport/pending_response.go
+++ b/internal/transport/pending_response.go
@@ -13,14 +13,14 @@
 // PendingResponse is the response to one request, created when the request is read. The first call of Respond, Reject
 // or Fail sets the response, and further calls do nothing. No method blocks, and each may be called from any goroutine.
 type PendingResponse struct {
-	once         sync.Once
-	done         chan struct{} // closed when payload is set
-	payload      net.Buffers
-	requestBytes int64 // size of the request
+	once    sync.Once
+	done    chan struct{} // closed when payload is set
+	payload net.Buffers
+	memory  int64 // bytes of the request memory that the request takes until the response is written
 }
 
-func newPendingResponse(requestBytes int) *PendingResponse {
-	return &PendingResponse{done: make(chan struct{}), requestBytes: int64(requestBytes)}
+func newPendingResponse(memory int64) *PendingResponse {
+	return &PendingResponse{done: make(chan struct{}), memory: memory}
 }
 
 // Respond responds with the value that an endpoint returned.
