--- a/internal/protocol/requestscanner.go
+++ b/internal/protocol/requestscanner.go
@@ -41,6 +41,12 @@
 	s.scanned, s.skipping = 0, true
 }
 
+// BytesToSkip returns how many of the next bytes are removed as soon as they arrive. The buffer is empty if it is above 0.
+func (s *RequestScanner) BytesToSkip() int { return s.bytesToSkip }
+
+// SkippedOutside records that n of the bytes to be skipped were read and dropped without passing through the buffer.
+func (s *RequestScanner) SkippedOutside(n int) { s.bytesToSkip -= n }
+
 // Next returns the size of the complete request at the start of the buffer, or 0 if the request is not complete yet.
 // For a request that is skipped, because it is too large or by Skip, it returns size 0 and skipped once all of the
 // request has been removed from the buffer. After an error the rest of the input cannot be parsed.
--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -43,7 +43,7 @@
 	handedOver   bool      // redcon has read handoverCommand
 	receivedAt   time.Time // when the last of the bytes read so far arrived
 	partialSince time.Time // since when the buffer has held an incomplete request; zero if it holds none
-	framingLost  bool      // no further request can be read
+	framingLost  bool      // no further request is read
 
 	// mu is also held while bytes are read from the socket. Reading a connection and closing it as idle thus exclude
 	// each other, and input accounts for all bytes read before it is decided whether to close the connection.
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -21,6 +22,8 @@
 	idleTimeout = 2 * time.Second
 	// maxDiscardedBytes is how many bytes are read and dropped after the framing is lost, to detect a disconnect.
 	maxDiscardedBytes = 1 << 20
+	// discardBufferSize is how many bytes of a skipped request are read at once.
+	discardBufferSize = 64 << 10
 )
 
 // malformedRequestError says why the input from a client is not a valid request. Its text is sent to the client.
@@ -154,13 +157,23 @@
 	c.bufferMemory = 0
 }
 
-// receive waits for bytes and reads them into the buffer. Reaching the read deadline before any arrive is not an error.
+// discardBuffers holds memory into which bytes of skipped requests are read. Their content is not used.
+var discardBuffers = sync.Pool{New: func() any { return new([discardBufferSize]byte) }}
+
+// receive waits for bytes and reads them into the buffer, or drops them if they belong to a request that is skipped.
+// Reaching the read deadline before any arrive is not an error.
 func (c *clientConnection) receive() error {
 	c.reserveSpace()
 	space, n := c.buffer.Space(), 0
+	toSkip := c.scanner.BytesToSkip()
+	skipping := toSkip > len(space)
 	var err error
 	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
-		n, err = c.readSocket(fd, space)
+		if skipping {
+			n, err = c.discardFromSocket(fd, toSkip)
+		} else {
+			n, err = c.readSocket(fd, space)
+		}
 		return err != unix.EAGAIN
 	})
 	switch {
@@ -173,10 +186,21 @@
 	case n == 0:
 		return io.EOF
 	}
-	c.buffer.Commit(n)
+	if skipping {
+		c.scanner.SkippedOutside(n)
+	} else {
+		c.buffer.Commit(n)
+	}
 	return nil
 }
 
+// discardFromSocket reads at most limit bytes from the socket and drops them.
+func (c *clientConnection) discardFromSocket(fd uintptr, limit int) (n int, err error) {
+	discarded := discardBuffers.Get().(*[discardBufferSize]byte)
+	defer discardBuffers.Put(discarded)
+	return c.readSocket(fd, discarded[:min(limit, discardBufferSize)])
+}
+
 // readSocket reads bytes from the socket while it holds mu, as closeIfIdle does to decide whether to close. Once the
 // connection is being closed it reads none, so that the reset tells the client that they were not read.
 func (c *clientConnection) readSocket(fd uintptr, space []byte) (n int, err error) {
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -12,6 +12,7 @@
 
 const (
 	maxPipelinedRequests = 32              // limit on the requests of one connection that wait for their responses
+	maxRejectedAtOnce    = 8               // limit on the requests of one connection rejected for lack of memory within nextRequestWindow
 	responseWriteTimeout = 5 * time.Second // after it a client that does not read its responses is disconnected
 	// malformedRequestDelay is the pause before a connection is read again after a malformed request. It limits the
 	// cost of a client that keeps sending malformed requests.
@@ -34,8 +35,10 @@
 	writerDone   chan struct{} // closed when no more responses are written
 
 	// The fields of this group are used only by the reader.
-	unanswered    []*PendingResponse // enqueued responses; complete ones are removed with the next request
-	writerStarted bool
+	unanswered     []*PendingResponse // enqueued responses; complete ones are removed with the next request
+	rejected       int                // requests rejected for lack of memory since rejectingSince
+	rejectingSince time.Time
+	writerStarted  bool
 }
 
 func newClientSession(c *clientConnection) *clientSession {
@@ -44,8 +47,9 @@
 }
 
 // readRequests passes the client's requests on in order. A malformed request is answered at once, and the connection is
-// read again after malformedRequestDelay. A connection that loses its framing, or sends more than maxPipelinedRequests
-// at once, is not read any further: its outstanding responses are written, and it is closed.
+// read again after malformedRequestDelay. A connection that loses its framing, or sends more than maxPipelinedRequests, or
+// maxRejectedAtOnce for which there is no memory, is not read any further: its outstanding responses are written, and it
+// is closed.
 func (s *clientSession) readRequests() {
 	c := s.connection
 	for !c.framingLost {
@@ -74,7 +78,7 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, errOutOfMemory):
-		c.server.rejectOutOfMemory(response)
+		s.rejectOutOfMemory(response)
 	default:
 		c.server.rejectMalformed(response, err)
 		if !c.framingLost {
@@ -110,8 +114,8 @@
 	c := s.connection
 	c.releaseBuffer()
 	close(s.responses)
-	if c.framingLost && !c.awaitDisconnect() {
-		return // the connection was closed after its last response, or the client sends without end
+	if c.framingLost && (s.allAnswered() || !c.awaitDisconnect()) {
+		return // the connection is closed after its last response, or the client sends without end
 	}
 	close(s.disconnected)
 	if !s.writerStarted {
@@ -124,6 +128,11 @@
 	}
 }
 
+// allAnswered reports whether every request that was read has its response.
+func (s *clientSession) allAnswered() bool {
+	return !slices.ContainsFunc(s.unanswered, func(response *PendingResponse) bool { return !response.isDone() })
+}
+
 // dispatch passes a request on, or returns an error that says what is wrong with it. A request whose connection gets no
 // descriptor has no time left, so that it gets its final response without an attempt. A request's time runs from the
 // arrival of its last byte, as recorded when it was read.
@@ -154,10 +163,20 @@
 	s.log.Warn("malformed request from client", "error", err)
 }
 
-// rejectOutOfMemory responds to a request that was dropped for lack of memory, and logs it.
-func (s *ClientServer) rejectOutOfMemory(response *PendingResponse) {
-	response.Reject(s.retryAfter)
-	s.log.Warn("client request rejected for lack of memory", "used_bytes", s.memory.used(), "limit_bytes", s.memory.limit)
+// rejectOutOfMemory responds to a request that was dropped for lack of memory, and logs it. After maxRejectedAtOnce of
+// them the connection is not read any further, because reading all that is rejected would take the processor time of the
+// other clients.
+func (s *clientSession) rejectOutOfMemory(response *PendingResponse) {
+	server := s.connection.server
+	response.Reject(server.retryAfter)
+	server.log.Warn("client request rejected for lack of memory", "used_bytes", server.memory.used(), "limit_bytes", server.memory.limit)
+	if now := time.Now(); now.Sub(s.rejectingSince) > nextRequestWindow {
+		s.rejected, s.rejectingSince = 0, now
+	}
+	s.rejected++
+	if s.rejected >= maxRejectedAtOnce {
+		s.connection.framingLost = true
+	}
 }
 
 // writeResponses writes the responses until the reader has closed the queue and all are written, or until the client
--- a/internal/transport/request_memory_test.go
+++ b/internal/transport/request_memory_test.go
@@ -1,11 +1,14 @@
 package transport
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -134,3 +137,34 @@
 		}
 	}
 }
+
+// Guards against clients that send hundreds of large requests at once and kept the gateway's processor busy: without
+// memory for them, each was read to its end and rejected, 200 on one connection, and usual clients went unanswered.
+// Found by the second review.
+func TestConnectionIsClosedAfterManyRequestsWithoutMemory(t *testing.T) {
+	server := newTestServer(t, 4, nil, nil)
+	server.memory.growBuffer(0, server.memory.limit-server.memory.reserved)
+	c, client := connectIdle(t, server, true)
+	c.lastActive = time.Now()
+	go newClientSession(c).readRequests()
+	client.SetDeadline(time.Now().Add(responseTimeout))
+	large := readRequestText(largeKeySize)
+	go func() {
+		for range 200 {
+			if _, err := io.WriteString(client, large); err != nil {
+				return
+			}
+		}
+	}()
+	responses := bufio.NewReader(client)
+	for rejected := 0; ; rejected++ {
+		line, err := responses.ReadString('\n')
+		if rejected > 0 && (err == io.EOF || errors.Is(err, syscall.ECONNRESET)) {
+			return
+		}
+		if line != "-BUSY\r\n" || rejected >= maxRejectedAtOnce {
+			t.Fatalf("after %d rejections: got %q and error %v, want 1 to %d rejections and the end of the connection",
+				rejected, line, err, maxRejectedAtOnce)
+		}
+	}
+}
