--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -36,14 +36,15 @@
 	server  *ClientServer
 
 	// The fields of this group are used only by the goroutine that reads the connection.
-	buffer       *protocol.Buffer
-	bufferMemory int64 // bytes of the request memory that the buffer takes
-	scanner      protocol.RequestScanner
-	shedding     bool      // the current request is skipped for lack of memory
-	handedOver   bool      // redcon has read handoverCommand
-	receivedAt   time.Time // when the last of the bytes read so far arrived
-	partialSince time.Time // since when the buffer has held an incomplete request; zero if it holds none
-	framingLost  bool      // no further request is read
+	buffer          *protocol.Buffer
+	bufferMemory    int64 // bytes of the request memory that the buffer takes
+	scanner         protocol.RequestScanner
+	shedding        bool      // the current request is skipped for lack of memory
+	readWithoutWait bool      // the latest bytes were read without waiting for them
+	handedOver      bool      // redcon has read handoverCommand
+	receivedAt      time.Time // when the last of the bytes read so far arrived
+	partialSince    time.Time // since when the buffer has held an incomplete request; zero if it holds none
+	framingLost     bool      // no further request is read
 
 	// mu is also held while bytes are read from the socket. Reading a connection and closing it as idle thus exclude
 	// each other, and input accounts for all bytes read before it is decided whether to close the connection.
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -161,12 +162,18 @@
 var discardBuffers = sync.Pool{New: func() any { return new([discardBufferSize]byte) }}
 
 // receive waits for bytes and reads them into the buffer, or drops them if they belong to a request that is skipped.
-// Reaching the read deadline before any arrive is not an error.
+// Reaching the read deadline before any arrive is not an error. A connection on which bytes always wait lets other
+// goroutines run before each read: without a wait it would otherwise be preempted only after 10 ms, and a hundred of
+// such connections would hold up all others for a second.
 func (c *clientConnection) receive() error {
+	if c.readWithoutWait {
+		runtime.Gosched()
+	}
 	c.reserveSpace()
 	space, n := c.buffer.Space(), 0
 	toSkip := c.scanner.BytesToSkip()
 	skipping := toSkip > len(space)
+	c.readWithoutWait = true
 	var err error
 	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
 		if skipping {
@@ -174,7 +181,9 @@
 		} else {
 			n, err = c.readSocket(fd, space)
 		}
-		return err != unix.EAGAIN
+		notReady := err == unix.EAGAIN
+		c.readWithoutWait = c.readWithoutWait && !notReady
+		return !notReady
 	})
 	switch {
 	case isTimeout(waitErr):
