--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -52,7 +52,7 @@
 	pending       int  // requests read whose responses are not written yet
 	hasRequested  bool // a request has been read
 	input         inputState
-	lastActive    time.Time // when the connection got its slot or a response was last written
+	lastActive    time.Time // when the connection was established, its first bytes arrived or a response was last written
 	closing       bool      // no further request is accepted
 	hasDescriptor bool      // the connection is within the descriptor limit, not in overflow
 	releaseSlot   func()    // releases the descriptor or the overflow slot of the connection
@@ -65,8 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var waited time.Duration // since the connection was established or its first bytes arrived
+	if err := rawConn.Control(func(fd uintptr) { waited = timeSinceLastData(fd) }); err != nil {
+		return nil, err
+	}
 	return &clientConnection{streamConn: conn, rawConn: rawConn, server: server,
-		buffer: protocol.NewBuffer(protocol.MaxRequestSize), lastActive: time.Now()}, nil
+		buffer: protocol.NewBuffer(protocol.MaxRequestSize), lastActive: time.Now().Add(-waited)}, nil
 }
 
 // connectionScope selects the connections that may be closed.
@@ -187,10 +191,12 @@
 	})
 }
 
-// closeIfUnused closes the connection if it is within the limit and has not sent a request for minIdleBeforeReclaim
-// since it was accepted. It reports whether it did.
-func (c *clientConnection) closeIfUnused() bool {
-	return !c.hasSentRequest() && c.closeIfIdle(minIdleBeforeReclaim, withinLimit)
+// isSilent reports whether the connection is within the scope and has sent nothing for at least the given time since it
+// was established.
+func (c *clientConnection) isSilent(minIdle time.Duration, scope connectionScope) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.hasRequested && c.input == inputEmpty && scope.includes(c.hasDescriptor) && time.Since(c.lastActive) >= minIdle
 }
 
 func (c *clientConnection) hasSentRequest() bool {
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -45,7 +45,6 @@
 		return nil, err
 	}
 	s.awaitSlot(c)
-	c.lastActive = time.Now()
 	s.mu.Lock()
 	s.connections = append(s.connections, c)
 	draining := s.draining
@@ -60,7 +59,7 @@
 // awaitSlot waits until a new connection has a descriptor or an overflow slot. All connections not yet accepted wait
 // behind it, so connections whose responses are written are closed to make room. It waits only while every overflow
 // slot is held by a connection whose response is pending, or by one that has sent nothing and is within
-// firstRequestGrace.
+// firstRequestGrace of being established.
 func (s *ClientServer) awaitSlot(c *clientConnection) {
 	if s.acquireSlot(c) {
 		return
@@ -105,9 +104,10 @@
 // sent a request within firstRequestGrace, and reports whether it closed one. The grace period is needed because the
 // first request of a new connection may still be on its way.
 func (s *ClientServer) closeIdleInOverflow() bool {
-	firstRequestGrace := s.shortage.firstRequestGrace()
-	for _, other := range s.snapshot() {
-		minIdle := firstRequestGrace
+	all := s.snapshot()
+	grace := firstRequestGrace(all, overflow, cap(s.overflow))
+	for _, other := range all {
+		minIdle := grace
 		if other.hasSentRequest() {
 			minIdle = 0
 		}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// timeSinceLastData returns how long ago data last arrived on a TCP connection, in whole milliseconds. It returns 0 if
-// the system does not report it.
+// timeSinceLastData returns how long ago data last arrived on a TCP connection, or how long ago the connection was
+// established if none has arrived, in whole milliseconds. It returns 0 if the system does not report it.
 func timeSinceLastData(fd uintptr) time.Duration {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
 	if err != nil {
