--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
 	"laurelring/internal/protocol"
@@ -42,15 +43,15 @@
 	shedding        bool      // the current request is skipped for lack of memory
 	readWithoutWait bool      // the latest bytes were read without waiting for them
 	handedOver      bool      // redcon has read handoverCommand
-	receivedAt      time.Time // when the last of the bytes read so far arrived
 	partialSince    time.Time // since when the buffer has held an incomplete request; zero if it holds none
 	framingLost     bool      // no further request is read
 
 	// mu is also held while bytes are read from the socket. Reading a connection and closing it as idle thus exclude
 	// each other, and input accounts for all bytes read before it is decided whether to close the connection.
 	mu            sync.Mutex
-	pending       int  // requests read whose responses are not written yet
-	hasRequested  bool // a request has been read
+	receivedAt    time.Time // when the last of the bytes read so far arrived
+	pending       int       // requests read whose responses are not written yet
+	hasRequested  bool      // a request has been read
 	input         inputState
 	lastActive    time.Time // when the connection was established, its first bytes arrived or a response was last written
 	closing       bool      // no further request is accepted
@@ -207,22 +208,11 @@
 
 // closeIfIdle closes the connection if it is within the scope, has no pending request and has been idle for at least
 // minIdle, and reports whether it did. A connection stays open if bytes wait to be read or have just been read, and if
-// a request is partly received, unless that is its first request and the reason to close it is a shortage of
-// descriptors.
+// a request is partly received.
 func (c *clientConnection) closeIfIdle(minIdle time.Duration, scope connectionScope) bool {
 	draining := c.server.isDraining()
 	c.mu.Lock()
-	idle := !c.closing && c.pending == 0 && scope.includes(c.hasDescriptor) && time.Since(c.lastActive) >= minIdle
-	switch c.input {
-	case inputUnparsed:
-		idle = false
-	case inputPartial:
-		idle = idle && !c.hasRequested && !draining
-	}
-	// A first request may also wait in the socket until the session's goroutine runs. Its client would retry it only
-	// once.
-	idle = idle && !c.hasUnreadBytes()
-	c.closing = c.closing || idle
+	idle := c.input == inputEmpty && time.Since(c.lastActive) >= minIdle && c.beginClose(scope)
 	c.mu.Unlock()
 	if !idle {
 		return false
@@ -237,6 +227,36 @@
 	return true
 }
 
+// closeIfStalled closes the connection if it is within the scope, has no pending request, and the rest of a partly
+// received request has not arrived for at least minStall. It reports whether it did. The client gets a rejection, as it
+// may have sent the rest in the meantime.
+func (c *clientConnection) closeIfStalled(minStall time.Duration, scope connectionScope) bool {
+	c.mu.Lock()
+	stalled := c.input == inputPartial && time.Since(c.receivedAt) >= minStall && c.beginClose(scope)
+	c.mu.Unlock()
+	if !stalled {
+		return false
+	}
+	slog.Debug("client connection closed", "client", c.RemoteAddr(), "reason", "request stalled")
+	c.rawConn.Write(func(fd uintptr) (done bool) {
+		unix.Write(int(fd), redcon.AppendError(nil, protocol.RejectedMessage(c.server.retryAfter)))
+		return true // all earlier responses are written, so there is room for the line unless the client reads nothing
+	})
+	c.Close()
+	return true
+}
+
+// beginClose marks the connection as closing, and reports whether it did: only if the connection is within the scope,
+// has no pending request and no bytes wait to be read. A first request may wait in the socket until the session's
+// goroutine runs, and its client would retry it only once. The caller holds mu.
+func (c *clientConnection) beginClose(scope connectionScope) bool {
+	if c.closing || c.pending > 0 || !scope.includes(c.hasDescriptor) || c.hasUnreadBytes() {
+		return false
+	}
+	c.closing = true
+	return true
+}
+
 // hasUnreadBytes reports whether bytes from the client wait to be read from the socket.
 func (c *clientConnection) hasUnreadBytes() bool {
 	n, err := peekByte(c.rawConn)
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -58,8 +58,8 @@
 
 // awaitSlot waits until a new connection has a descriptor or an overflow slot. All connections not yet accepted wait
 // behind it, so connections whose responses are written are closed to make room. It waits only while every overflow
-// slot is held by a connection whose response is pending, or by one that has sent nothing and is within
-// firstRequestGrace of being established.
+// slot is held by a connection whose response is pending, by one that has sent nothing and is within firstRequestGrace
+// of being established, or by one of whose request a part has arrived within minIdleBeforeReclaim.
 func (s *ClientServer) awaitSlot(c *clientConnection) {
 	if s.acquireSlot(c) {
 		return
@@ -101,7 +101,7 @@
 func (s *ClientServer) releaseOverflow() { <-s.overflow }
 
 // closeIdleInOverflow closes a connection beyond the descriptor limit that has received its responses, or that has not
-// sent a request within firstRequestGrace, and reports whether it closed one. The grace period is needed because the
+// sent a request within firstRequestGrace, or whose request is stalled, and reports whether it closed one. The grace period is needed because the
 // first request of a new connection may still be on its way.
 func (s *ClientServer) closeIdleInOverflow() bool {
 	all := s.snapshot()
@@ -111,7 +111,7 @@
 		if other.hasSentRequest() {
 			minIdle = 0
 		}
-		if other.closeIfIdle(minIdle, overflow) {
+		if other.closeIfIdle(minIdle, overflow) || other.closeIfStalled(minIdleBeforeReclaim, overflow) {
 			return true
 		}
 	}
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -170,13 +170,16 @@
 	}
 }
 
-// closeIdle closes a connection within the limit that has not sent a request within firstRequestGrace, or else the one
-// that has been idle longest since its last request. It reports whether it closed one.
+// closeIdle closes a connection within the limit that has not sent a request within firstRequestGrace, or else one whose
+// request is stalled, or else the one that has been idle longest since its last request. It reports whether it closed
+// one.
 func (s *ClientServer) closeIdle() bool {
 	all := s.snapshot()
 	grace := firstRequestGrace(all, withinLimit, s.quota.limit)
 	return slices.ContainsFunc(all, func(c *clientConnection) bool {
 		return !c.hasSentRequest() && c.closeIfIdle(grace, withinLimit)
+	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
+		return c.closeIfStalled(minIdleBeforeReclaim, withinLimit)
 	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
 		return c.hasSentRequest() && c.closeIfIdle(minIdleBeforeReclaim, withinLimit)
 	})
