--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -24,7 +24,7 @@
 	minIdleBeforeReclaim = 50 * time.Millisecond
 	// silentCrowdShare is the share of the slots above which connections that have sent nothing for minIdleBeforeReclaim
 	// count as a crowd.
-	silentCrowdShare = 0.2
+	silentCrowdShare = 0.5
 	// idleConnectionShare is the share of the descriptor limit beyond which the connections that have been idle longest
 	// are closed, every idleSweepInterval. Some clients send one request and keep the connection open, and would
 	// otherwise keep other clients out.
