--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -40,16 +40,16 @@
 	buffer          *protocol.Buffer
 	bufferMemory    int64 // bytes of the request memory that the buffer takes
 	scanner         protocol.RequestScanner
-	shedding        bool      // the current request is skipped for lack of memory
-	readWithoutWait bool      // the latest bytes were read without waiting for them
-	handedOver      bool      // redcon has read handoverCommand
-	partialSince    time.Time // since when the buffer has held an incomplete request; zero if it holds none
-	framingLost     bool      // no further request is read
+	shedding        bool // the current request is skipped for lack of memory
+	readWithoutWait bool // the latest bytes were read without waiting for them
+	handedOver      bool // redcon has read handoverCommand
+	framingLost     bool // no further request is read
 
 	// mu is also held while bytes are read from the socket. Reading a connection and closing it as idle thus exclude
 	// each other, and input accounts for all bytes read before it is decided whether to close the connection.
 	mu            sync.Mutex
 	receivedAt    time.Time // when the last of the bytes read so far arrived
+	partialSince  time.Time // since when the buffer has held an incomplete request; zero if it holds none
 	pending       int       // requests read whose responses are not written yet
 	hasRequested  bool      // a request has been read
 	input         inputState
@@ -155,6 +155,7 @@
 	if len(c.buffer.Bytes()) > 0 {
 		c.input = inputUnparsed
 	}
+	c.partialSince = time.Time{}
 	c.pending++
 	c.hasRequested = true
 	return true
@@ -227,12 +228,13 @@
 	return true
 }
 
-// closeIfStalled closes the connection if it is within the scope, has no pending request, and the rest of a partly
-// received request has not arrived for at least minStall. It reports whether it did. The client gets a rejection, as it
-// may have sent the rest in the meantime.
-func (c *clientConnection) closeIfStalled(minStall time.Duration, scope connectionScope) bool {
+// closeIfStalled closes the connection if it is within the scope, has no pending request, and of a partly received request
+// either nothing has arrived for at least minIdleBeforeReclaim, or not all within nextRequestWindow. It reports whether
+// it did. The client gets a rejection, as it may have sent the rest in the meantime.
+func (c *clientConnection) closeIfStalled(scope connectionScope) bool {
 	c.mu.Lock()
-	stalled := c.input == inputPartial && time.Since(c.receivedAt) >= minStall && c.beginClose(scope)
+	stalled := time.Since(c.receivedAt) >= minIdleBeforeReclaim || time.Since(c.partialSince) >= nextRequestWindow
+	stalled = stalled && c.input == inputPartial && c.beginClose(scope)
 	c.mu.Unlock()
 	if !stalled {
 		return false
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -59,7 +59,7 @@
 // awaitSlot waits until a new connection has a descriptor or an overflow slot. All connections not yet accepted wait
 // behind it, so connections whose responses are written are closed to make room. It waits only while every overflow
 // slot is held by a connection whose response is pending, by one that has sent nothing and is within firstRequestGrace
-// of being established, or by one of whose request a part has arrived within minIdleBeforeReclaim.
+// of being established, or by one whose request is partly received and not stalled.
 func (s *ClientServer) awaitSlot(c *clientConnection) {
 	if s.acquireSlot(c) {
 		return
@@ -111,7 +111,7 @@
 		if other.hasSentRequest() {
 			minIdle = 0
 		}
-		if other.closeIfIdle(minIdle, overflow) || other.closeIfStalled(minIdleBeforeReclaim, overflow) {
+		if other.closeIfIdle(minIdle, overflow) || other.closeIfStalled(overflow) {
 			return true
 		}
 	}
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -83,7 +83,6 @@
 			}
 			c.framingLost, err = true, errRequestTimeout
 		}
-		c.partialSince = time.Time{}
 		if !c.beginRequest() { // the request arrived while the connection was being closed
 			c.server.memory.release(request.memory)
 			return receivedRequest{}, io.EOF
@@ -257,13 +256,13 @@
 // setPartialDeadline sets the read deadline for the rest of an incomplete request, and returns false once it has
 // passed.
 func (c *clientConnection) setPartialDeadline(now time.Time) bool {
+	c.mu.Lock()
 	if c.partialSince.IsZero() {
 		c.partialSince = now
 	}
-	c.mu.Lock()
 	c.input = inputPartial
-	c.mu.Unlock()
 	deadline := c.partialSince.Add(requestTimeout)
+	c.mu.Unlock()
 	c.SetReadDeadline(deadline)
 	return now.Before(deadline)
 }
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -179,7 +179,7 @@
 	return slices.ContainsFunc(all, func(c *clientConnection) bool {
 		return !c.hasSentRequest() && c.closeIfIdle(grace, withinLimit)
 	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
-		return c.closeIfStalled(minIdleBeforeReclaim, withinLimit)
+		return c.closeIfStalled(withinLimit)
 	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
 		return c.hasSentRequest() && c.closeIfIdle(minIdleBeforeReclaim, withinLimit)
 	})
