--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -22,7 +22,7 @@
 	// minIdleBeforeReclaim is how long a connection must have been idle before it may be closed to make room. One that has
 	// not sent a request yet has longer, see firstRequestGrace.
 	minIdleBeforeReclaim = 50 * time.Millisecond
-	// silentCrowdShare is the share of the slots above which connections that have sent nothing for minIdleBeforeReclaim
+	// silentCrowdShare is the share of the slots from which on connections that have sent nothing for minIdleBeforeReclaim
 	// count as a crowd.
 	silentCrowdShare = 0.5
 	// idleConnectionShare is the share of the descriptor limit beyond which the connections that have been idle longest
@@ -196,7 +196,7 @@
 			silent++
 		}
 	}
-	if float64(silent) > silentCrowdShare*float64(slots) {
+	if float64(silent) >= silentCrowdShare*float64(slots) {
 		return minIdleBeforeReclaim
 	}
 	return nextRequestWindow
