--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
 	"laurelring/internal/protocol"
@@ -193,14 +192,6 @@
 	})
 }
 
-// isSilent reports whether the connection is within the scope and has sent nothing for at least the given time since it
-// was established.
-func (c *clientConnection) isSilent(minIdle time.Duration, scope connectionScope) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.hasRequested && c.input == inputEmpty && scope.includes(c.hasDescriptor) && time.Since(c.lastActive) >= minIdle
-}
-
 func (c *clientConnection) hasSentRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -228,26 +219,6 @@
 	return true
 }
 
-// closeIfStalled closes the connection if it is within the scope, has no pending request, and of a partly received request
-// either nothing has arrived for at least minIdleBeforeReclaim, or not all within nextRequestWindow. It reports whether
-// it did. The client gets a rejection, as it may have sent the rest in the meantime.
-func (c *clientConnection) closeIfStalled(scope connectionScope) bool {
-	c.mu.Lock()
-	stalled := time.Since(c.receivedAt) >= minIdleBeforeReclaim || time.Since(c.partialSince) >= nextRequestWindow
-	stalled = stalled && c.input == inputPartial && c.beginClose(scope)
-	c.mu.Unlock()
-	if !stalled {
-		return false
-	}
-	slog.Debug("client connection closed", "client", c.RemoteAddr(), "reason", "request stalled")
-	c.rawConn.Write(func(fd uintptr) (done bool) {
-		unix.Write(int(fd), redcon.AppendError(nil, protocol.RejectedMessage(c.server.retryAfter)))
-		return true // all earlier responses are written, so there is room for the line unless the client reads nothing
-	})
-	c.Close()
-	return true
-}
-
 // beginClose marks the connection as closing, and reports whether it did: only if the connection is within the scope,
 // has no pending request and no bytes wait to be read. A first request may wait in the socket until the session's
 // goroutine runs, and its client would retry it only once. The caller holds mu.
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -99,21 +99,3 @@
 }
 
 func (s *ClientServer) releaseOverflow() { <-s.overflow }
-
-// closeIdleInOverflow closes a connection beyond the descriptor limit that has received its responses, or that has not
-// sent a request within firstRequestGrace, or whose request is stalled, and reports whether it closed one. The grace period is needed because the
-// first request of a new connection may still be on its way.
-func (s *ClientServer) closeIdleInOverflow() bool {
-	all := s.snapshot()
-	grace := firstRequestGrace(all, overflow, cap(s.overflow))
-	for _, other := range all {
-		minIdle := grace
-		if other.hasSentRequest() {
-			minIdle = 0
-		}
-		if other.closeIfIdle(minIdle, overflow) || other.closeIfStalled(overflow) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -22,9 +22,6 @@
 	// minIdleBeforeReclaim is how long a connection must have been idle before it may be closed to make room. One that has
 	// not sent a request yet has longer, see firstRequestGrace.
 	minIdleBeforeReclaim = 50 * time.Millisecond
-	// silentCrowdShare is the share of the slots from which on connections that have sent nothing for minIdleBeforeReclaim
-	// count as a crowd.
-	silentCrowdShare = 0.5
 	// idleConnectionShare is the share of the descriptor limit beyond which the connections that have been idle longest
 	// are closed, every idleSweepInterval. Some clients send one request and keep the connection open, and would
 	// otherwise keep other clients out.
@@ -170,38 +167,6 @@
 	}
 }
 
-// closeIdle closes a connection within the limit that has not sent a request within firstRequestGrace, or else one whose
-// request is stalled, or else the one that has been idle longest since its last request. It reports whether it closed
-// one.
-func (s *ClientServer) closeIdle() bool {
-	all := s.snapshot()
-	grace := firstRequestGrace(all, withinLimit, s.quota.limit)
-	return slices.ContainsFunc(all, func(c *clientConnection) bool {
-		return !c.hasSentRequest() && c.closeIfIdle(grace, withinLimit)
-	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
-		return c.closeIfStalled(withinLimit)
-	}) || slices.ContainsFunc(all, func(c *clientConnection) bool {
-		return c.hasSentRequest() && c.closeIfIdle(minIdleBeforeReclaim, withinLimit)
-	})
-}
-
-// firstRequestGrace returns how long a new connection within the scope, which has the given number of slots, is kept
-// without a first request when another needs its slot. Its client may be slow, and may be sending a request again whose
-// first connection was closed; it would not send that a third time. So the time is short only if silent connections are
-// the reason why slots are short.
-func firstRequestGrace(connections []*clientConnection, scope connectionScope, slots int) time.Duration {
-	silent := 0
-	for _, c := range connections {
-		if c.isSilent(minIdleBeforeReclaim, scope) {
-			silent++
-		}
-	}
-	if float64(silent) >= silentCrowdShare*float64(slots) {
-		return minIdleBeforeReclaim
-	}
-	return nextRequestWindow
-}
-
 // hasUnusedConnection reports whether any connection within the limit has not sent a request yet. Such a connection
 // makes room soon, as it either sends a request or is closed.
 func (s *ClientServer) hasUnusedConnection() bool {
