--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"laurelring/decision/reclaim"
 	"laurelring/internal/protocol"
 )
 
@@ -50,7 +51,10 @@
 	receivedAt    time.Time // when the last of the bytes read so far arrived
 	partialSince  time.Time // since when the buffer has held an incomplete request; zero if it holds none
 	pending       int       // requests read whose responses are not written yet
+	silentAtStart bool      // nothing had arrived when the connection was accepted
 	hasRequested  bool      // a request has been read
+	answered      bool      // the response to a request in order has been written
+	misbehaving   bool      // see reclaim.Connection
 	input         inputState
 	lastActive    time.Time // when the connection was established, its first bytes arrived or a response was last written
 	closing       bool      // no further request is accepted
@@ -69,8 +73,10 @@
 	if err := rawConn.Control(func(fd uintptr) { waited = timeSinceLastData(fd) }); err != nil {
 		return nil, err
 	}
-	return &clientConnection{streamConn: conn, rawConn: rawConn, server: server,
-		buffer: protocol.NewBuffer(protocol.MaxRequestSize), lastActive: time.Now().Add(-waited)}, nil
+	c := &clientConnection{streamConn: conn, rawConn: rawConn, server: server,
+		buffer: protocol.NewBuffer(protocol.MaxRequestSize), lastActive: time.Now().Add(-waited)}
+	c.silentAtStart = !c.hasUnreadBytes()
+	return c, nil
 }
 
 // connectionScope selects the connections that may be closed.
@@ -91,14 +97,14 @@
 }
 
 // awaitDescriptor reports whether the connection holds a descriptor of the budget. A connection in overflow takes a
-// descriptor that is free or becomes free within minIdleBeforeReclaim, as connections within the limit that have not
+// descriptor that is free or becomes free within reclaim.MinIdle, as connections within the limit that have not
 // sent a request may make room. It does not wait while other connections wait to be accepted.
 func (c *clientConnection) awaitDescriptor() bool {
 	s := c.server
 	if c.acquireDescriptor() {
 		return true
 	}
-	retry, limit := time.NewTicker(shortageRetryDelay), time.NewTimer(minIdleBeforeReclaim)
+	retry, limit := time.NewTicker(shortageRetryDelay), time.NewTimer(reclaim.MinIdle)
 	defer retry.Stop()
 	defer limit.Stop()
 	for waiting := true; waiting && !s.shortage.ongoing() && s.hasUnusedConnection(); {
@@ -165,6 +171,7 @@
 func (c *clientConnection) finishRequest() {
 	c.mu.Lock()
 	c.pending--
+	c.answered = c.answered || !c.misbehaving
 	c.lastActive = time.Now()
 	hasDescriptor := c.hasDescriptor
 	c.mu.Unlock()
@@ -181,14 +188,15 @@
 }
 
 // scheduleIdleClose closes the connection after nextRequestWindow, if it has been idle for that long and the server is
-// draining or the connection is in overflow.
+// draining, or the connection is in overflow and has sent a request.
 func (c *clientConnection) scheduleIdleClose() {
 	time.AfterFunc(nextRequestWindow, func() {
-		scope := overflow
-		if c.server.isDraining() {
-			scope = anyConnection
+		switch {
+		case c.server.isDraining():
+			c.closeIfIdle(nextRequestWindow, anyConnection)
+		case c.hasSentRequest():
+			c.closeIfIdle(nextRequestWindow, overflow)
 		}
-		c.closeIfIdle(nextRequestWindow, scope)
 	})
 }
 
@@ -198,6 +206,13 @@
 	return c.hasRequested
 }
 
+// recordConduct records whether the latest request was one of a misbehaving client.
+func (c *clientConnection) recordConduct(misbehaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.misbehaving = misbehaving
+}
+
 // closeIfIdle closes the connection if it is within the scope, has no pending request and has been idle for at least
 // minIdle, and reports whether it did. A connection stays open if bytes wait to be read or have just been read, and if
 // a request is partly received.
--- a/internal/transport/client_listener.go
+++ b/internal/transport/client_listener.go
@@ -50,7 +50,7 @@
 	draining := s.draining
 	s.mu.Unlock()
 	// While the server drains, the client may be retrying a request that it sent as its previous connection was closed.
-	if draining || !c.hasDescriptor {
+	if draining {
 		c.scheduleIdleClose()
 	}
 	return c, nil
@@ -58,8 +58,8 @@
 
 // awaitSlot waits until a new connection has a descriptor or an overflow slot. All connections not yet accepted wait
 // behind it, so connections whose responses are written are closed to make room. It waits only while every overflow
-// slot is held by a connection whose response is pending, by one that has sent nothing and is within firstRequestGrace
-// of being established, or by one whose request is partly received and not stalled.
+// slot is held by a connection whose response is pending, by one that has sent nothing and is within the time for
+// its first request, or by one whose request is partly received and not stalled.
 func (s *ClientServer) awaitSlot(c *clientConnection) {
 	if s.acquireSlot(c) {
 		return
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -11,12 +11,12 @@
 	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
+	"laurelring/decision/reclaim"
 	"laurelring/internal/protocol"
 )
 
 const (
-	// requestTimeout is the time within which a connection must send its first complete request, and within which any
-	// request must be complete after its first byte.
+	// requestTimeout is the time within which a request must be complete after its first byte.
 	requestTimeout = 2500 * time.Millisecond
 	// idleTimeout is the longest time between two requests of a connection. Some clients send one request and keep the
 	// connection open.
@@ -220,15 +220,26 @@
 	n, err = retryInterrupted(func() (int, error) { return unix.Read(int(fd), space) })
 	if n > 0 {
 		c.input = inputUnparsed
-		c.receivedAt = time.Now().Add(-timeSinceLastData(fd))
+		now := time.Now()
+		c.receivedAt = now.Add(-timeSinceLastData(fd))
+		c.recordFirstBytes(now)
 	}
 	return n, err
 }
 
+// recordFirstBytes records how long the client took until its first bytes, unless they had arrived before the connection
+// was accepted: it is not known then. The caller holds mu.
+func (c *clientConnection) recordFirstBytes(now time.Time) {
+	if c.silentAtStart {
+		c.silentAtStart = false
+		c.server.firstRequests.record(c.receivedAt.Sub(c.lastActive), now)
+	}
+}
+
 // setReadDeadline sets the deadline for the next bytes. An incomplete request must be complete within requestTimeout of
-// its first byte, the first request within requestTimeout of the connection's start, and a further request must begin
-// within idleTimeout. A connection that stays idle for longer is closed here. It returns false if an incomplete request
-// has timed out.
+// its first byte, the first request must begin within reclaim.FirstRequestTimeout of the connection's start, and a
+// further request within idleTimeout. A connection that stays idle for longer is closed here, unless keepsResting says
+// that it is kept. It returns false if an incomplete request has timed out.
 func (c *clientConnection) setReadDeadline() bool {
 	now := time.Now()
 	if len(c.buffer.Bytes()) > 0 || c.scanner.Started() {
@@ -238,7 +249,7 @@
 	c.input = inputEmpty
 	timeout, idleSince := idleTimeout, c.lastActive
 	if !c.hasRequested {
-		timeout = requestTimeout
+		timeout = reclaim.FirstRequestTimeout
 	}
 	if c.pending > 0 {
 		idleSince = now
@@ -246,7 +257,9 @@
 	c.mu.Unlock()
 	deadline := idleSince.Add(timeout)
 	if !now.Before(deadline) {
-		c.closeIfIdle(timeout, anyConnection)
+		if !c.server.keepsResting(c) {
+			c.closeIfIdle(timeout, anyConnection)
+		}
 		deadline = now.Add(timeout)
 	}
 	c.SetReadDeadline(deadline)
--- a/internal/transport/client_reclaim.go
+++ b/internal/transport/client_reclaim.go
@@ -8,46 +8,39 @@
 	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
+	"laurelring/decision/reclaim"
 	"laurelring/internal/protocol"
 )
 
-// silentCrowdShare is the share of the slots from which on connections that have sent nothing for minIdleBeforeReclaim
-// count as a crowd.
-const silentCrowdShare = 0.5
-
-// connectionActivity says what a connection is doing, for the choice of one to close when another needs its slot.
-type connectionActivity uint8
-
-const (
-	activityBusy    connectionActivity = iota // it is being closed, or a request is pending or arriving
-	activitySilent                            // it has sent nothing yet
-	activityStalled                           // a partly received request does not go on
-	activityResting                           // all its requests have their responses
-)
-
-// activity returns what the connection is doing, and for how long if it is silent or resting.
-func (c *clientConnection) activity(now time.Time, scope connectionScope) (activity connectionActivity, duration time.Duration) {
+// describe returns what the connection is doing, for the choice of one to close when another needs its slot.
+func (c *clientConnection) describe(now time.Time) reclaim.Connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return reclaim.Connection{Activity: c.activity(now), Idle: now.Sub(c.lastActive), Pending: c.pending,
+		Answered: c.answered, Misbehaving: c.misbehaving}
+}
+
+// activity returns what the connection is doing. The caller holds mu.
+func (c *clientConnection) activity(now time.Time) reclaim.Activity {
 	switch {
-	case c.closing || c.pending > 0 || !scope.includes(c.hasDescriptor):
-		return activityBusy, 0
+	case c.closing || c.pending > 0:
+		return reclaim.Busy
 	case c.hasStalledRequest(now):
-		return activityStalled, 0
+		return reclaim.Stalled
 	case c.input != inputEmpty:
-		return activityBusy, 0
+		return reclaim.Busy
 	case c.hasRequested:
-		return activityResting, now.Sub(c.lastActive)
+		return reclaim.Resting
 	default:
-		return activitySilent, now.Sub(c.lastActive)
+		return reclaim.Silent
 	}
 }
 
 // hasStalledRequest reports whether a request is partly received, and either nothing of it has arrived for at least
-// minIdleBeforeReclaim, or not all of it within nextRequestWindow. The caller holds mu.
+// reclaim.MinIdle, or not all of it within nextRequestWindow. The caller holds mu.
 func (c *clientConnection) hasStalledRequest(now time.Time) bool {
 	return c.input == inputPartial &&
-		(now.Sub(c.receivedAt) >= minIdleBeforeReclaim || now.Sub(c.partialSince) >= nextRequestWindow)
+		(now.Sub(c.receivedAt) >= reclaim.MinIdle || now.Sub(c.partialSince) >= nextRequestWindow)
 }
 
 // closeIfStalled closes the connection if it is within the scope, has no pending request, and a partly received request is
@@ -70,43 +63,53 @@
 
 // closeIdle closes a connection within the limit to make room, and reports whether it did.
 func (s *ClientServer) closeIdle() bool {
-	return s.makeRoom(withinLimit, s.quota.limit, minIdleBeforeReclaim)
+	return s.makeRoom(withinLimit, reclaim.Slots{Count: s.quota.limit, MinResting: reclaim.MinIdle, KeepUsual: true})
 }
 
 // closeIdleInOverflow closes a connection beyond the descriptor limit to make room, and reports whether it did.
 func (s *ClientServer) closeIdleInOverflow() bool {
-	return s.makeRoom(overflow, cap(s.overflow), 0)
+	return s.makeRoom(overflow, reclaim.Slots{Count: cap(s.overflow)})
 }
 
-// makeRoom closes one connection within the scope, which has the given number of slots, and reports whether it did: one
-// that has not sent a request within firstRequestGrace, or else one whose request is stalled, or else the one that has
-// rested longest, for at least minResting.
-func (s *ClientServer) makeRoom(scope connectionScope, slots int, minResting time.Duration) bool {
-	now := time.Now()
-	var silent, stalled, resting []*clientConnection
-	for _, c := range s.snapshot() {
-		switch activity, duration := c.activity(now, scope); {
-		case activity == activitySilent && duration >= minIdleBeforeReclaim:
-			silent = append(silent, c)
-		case activity == activityStalled:
-			stalled = append(stalled, c)
-		case activity == activityResting && duration >= minResting:
-			resting = append(resting, c)
+// makeRoom closes one connection within the scope, and reports whether it did. A candidate that has become active since
+// it was described is kept.
+func (s *ClientServer) makeRoom(scope connectionScope, slots reclaim.Slots) bool {
+	connections, described := s.describeConnections(scope)
+	slots.FirstRequestDelay = s.firstRequests.bound(time.Now())
+	return slices.ContainsFunc(reclaim.Candidates(described, slots), func(candidate reclaim.Candidate) bool {
+		c := connections[candidate.Index]
+		if candidate.Activity == reclaim.Stalled {
+			return c.closeIfStalled(scope)
 		}
+		return c.closeIfIdle(candidate.MinIdle, scope)
+	})
+}
+
+// describeConnections returns the open connections within the scope and what they are doing, longest idle first.
+func (s *ClientServer) describeConnections(scope connectionScope) ([]*clientConnection, []reclaim.Connection) {
+	now := time.Now()
+	connections := slices.DeleteFunc(s.snapshot(), func(c *clientConnection) bool { return !scope.includes(c.holdsDescriptor()) })
+	described := make([]reclaim.Connection, len(connections))
+	for i, c := range connections {
+		described[i] = c.describe(now)
+	}
+	return connections, described
+}
+
+// keepsResting reports whether a resting connection is kept beyond idleTimeout: if it is one of a usual client, and other
+// connections hold half of the descriptors for clients or more. Its client would have to come again through that crowd.
+func (s *ClientServer) keepsResting(c *clientConnection) bool {
+	if !c.describe(time.Now()).IsUsual() {
+		return false
 	}
-	grace := firstRequestGrace(len(silent), slots)
-	return slices.ContainsFunc(silent, func(c *clientConnection) bool { return c.closeIfIdle(grace, scope) }) ||
-		slices.ContainsFunc(stalled, func(c *clientConnection) bool { return c.closeIfStalled(scope) }) ||
-		slices.ContainsFunc(resting, func(c *clientConnection) bool { return c.closeIfIdle(minResting, scope) })
+	_, described := s.describeConnections(withinLimit)
+	return reclaim.IsCrowded(described, s.quota.limit)
 }
 
-// firstRequestGrace returns how long a new connection is kept without a first request when another needs its slot, given
-// how many have been silent for minIdleBeforeReclaim and how many slots there are. Its client may be slow, and may be
-// sending a request again whose first connection was closed; it would not send that a third time. So the time is short
-// only if silent connections are the reason why slots are short.
-func firstRequestGrace(silent, slots int) time.Duration {
-	if float64(silent) >= silentCrowdShare*float64(slots) {
-		return minIdleBeforeReclaim
+// closeExcessIdle closes the longest idle of the connections that rest, if more than maxIdle of them do.
+func (s *ClientServer) closeExcessIdle() {
+	connections, described := s.describeConnections(withinLimit)
+	for _, index := range reclaim.ExcessResting(described, s.maxIdle) {
+		connections[index].closeIfIdle(reclaim.MinIdle, withinLimit)
 	}
-	return nextRequestWindow
 }
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -19,29 +19,27 @@
 	// nextRequestWindow is the time within which an active client sends its next request, or the first one on a new
 	// connection. During shutdown a connection stays open for that long, to receive a last request.
 	nextRequestWindow = 300 * time.Millisecond
-	// minIdleBeforeReclaim is how long a connection must have been idle before it may be closed to make room. One that has
-	// not sent a request yet has longer, see firstRequestGrace.
-	minIdleBeforeReclaim = 50 * time.Millisecond
-	// idleConnectionShare is the share of the descriptor limit beyond which the connections that have been idle longest
-	// are closed, every idleSweepInterval. Some clients send one request and keep the connection open, and would
-	// otherwise keep other clients out.
+	// idleConnectionShare is the share of the descriptor limit beyond which the connections that have rested longest are
+	// closed, every idleSweepInterval. Some clients send one request and keep the connection open, and would otherwise
+	// keep other clients out.
 	idleConnectionShare = 0.2
 	idleSweepInterval   = 50 * time.Millisecond
 )
 
 // ClientServer accepts connections from clients, reads their requests and writes the responses.
 type ClientServer struct {
-	quota        *descriptorQuota
-	log          *RateLimitedLog
-	memory       *requestMemory
-	retryAfter   time.Duration
-	maxRemaining time.Duration
-	overflow     chan struct{} // holds one element for each connection beyond the descriptor limit
-	shortage     *slotShortage
-	maxIdle      int // above this number of connections that have sent a request, idle ones are closed
-	opTypes      map[string]*decision.OpType
-	onRequest    func(request protocol.Request, response *PendingResponse)
-	onDisconnect func(response *PendingResponse)
+	quota         *descriptorQuota
+	log           *RateLimitedLog
+	memory        *requestMemory
+	retryAfter    time.Duration
+	maxRemaining  time.Duration
+	overflow      chan struct{} // holds one element for each connection beyond the descriptor limit
+	shortage      *slotShortage
+	firstRequests firstRequestDelay
+	maxIdle       int // above this number of connections that rest, the longest idle ones are closed
+	opTypes       map[string]*decision.OpType
+	onRequest     func(request protocol.Request, response *PendingResponse)
+	onDisconnect  func(response *PendingResponse)
 
 	mu          sync.Mutex
 	connections []*clientConnection // longest idle first
@@ -158,15 +156,6 @@
 	}
 }
 
-// closeExcessIdle closes the longest idle of the connections that have sent a request, if more than maxIdle of them are
-// open.
-func (s *ClientServer) closeExcessIdle() {
-	used := slices.DeleteFunc(s.snapshot(), func(c *clientConnection) bool { return !c.hasSentRequest() })
-	for _, c := range used[:max(0, len(used)-s.maxIdle)] {
-		c.closeIfIdle(minIdleBeforeReclaim, withinLimit)
-	}
-}
-
 // hasUnusedConnection reports whether any connection within the limit has not sent a request yet. Such a connection
 // makes room soon, as it either sends a request or is closed.
 func (s *ClientServer) hasUnusedConnection() bool {
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -72,6 +72,7 @@
 func (s *clientSession) respond(request receivedRequest, err error) {
 	c := s.connection
 	response := s.enqueueResponse(request.memory)
+	c.recordConduct(err != nil || len(s.unanswered) > maxPipelinedRequests/2)
 	if err == nil {
 		err = c.server.dispatch(request.command, response, c)
 	}
@@ -80,6 +81,7 @@
 	case errors.Is(err, errOutOfMemory):
 		s.rejectOutOfMemory(response)
 	default:
+		c.recordConduct(true)
 		c.server.rejectMalformed(response, err)
 		if !c.framingLost {
 			s.pauseReading()
