--- a/internal/transport/client_listener_test.go
+++ b/internal/transport/client_listener_test.go
@@ -218,3 +218,31 @@
 		t.Errorf("got %v left of 20s after %v in the socket, want at most %v", got, unread, limit)
 	}
 }
+
+// Only a request behind another one that waits for its response counts as pipelined.
+func TestPipelinedRequestIsMarked(t *testing.T) {
+	const request = "*4\r\n$8\r\nAPI.READ\r\n$1\r\nk\r\n$1\r\n1\r\n$14\r\nc=look,d=20000\r\n"
+	requests, responses := make(chan protocol.Request, 2), make(chan *PendingResponse, 2)
+	server := newTestServer(t, 4, func(request protocol.Request, response *PendingResponse) {
+		requests <- request
+		responses <- response
+	}, nil)
+	c, client := connectIdle(t, server, true)
+	go newClientSession(c).readRequests()
+	io.WriteString(client, request+request)
+	if first, second := <-requests, <-requests; first.Pipelined || !second.Pipelined {
+		t.Errorf("got pipelined: first %t, second %t, want only the second", first.Pipelined, second.Pipelined)
+	}
+	reader := bufio.NewReader(client)
+	for range 2 {
+		(<-responses).Fail()
+		reader.ReadString('\n')
+	}
+	for c.pendingRequests() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	io.WriteString(client, request)
+	if third := <-requests; third.Pipelined {
+		t.Error("a request after the response to all others counts as pipelined")
+	}
+}
