--- a/decision/idempotency.go
+++ b/decision/idempotency.go
@@ -1,6 +1,8 @@
 package decision
 
 import (
+	"slices"
+
 	"laurelring/decision/monotonic"
 )
 
@@ -36,6 +38,14 @@
 	return op.idempotency == Idempotent || op.idempotency == IdempotentByKey && op.dedupScope == ScopeAll
 }
 
+// MustNotExecuteAgain reports whether an attempt of the request may have executed and a further execution would repeat its
+// effect. A request that comes again under the same id is another one to the balancer, which knows nothing of the first
+// one's attempts.
+func (request *Request) MustNotExecuteAgain() bool {
+	return request.opType.idempotency != Idempotent &&
+		slices.ContainsFunc(request.attempts, func(attempt *Attempt) bool { return attempt.mayHaveExecuted })
+}
+
 // repeatAllowed reports whether an attempt that is sent to an endpoint now cannot repeat an effect, whichever of the
 // earlier attempts of its request executed.
 func (lb *Balancer) repeatAllowed(op *OpType, earlier []*Attempt, endpoint *Endpoint, now monotonic.Time) bool {
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laurelring/decision"
+	"laurelring/decision/executed"
 	"laurelring/decision/monotonic"
 	"laurelring/internal/protocol"
 )
@@ -22,6 +23,7 @@
 	byState  map[*decision.Request]*activeRequest
 	byID     map[string]*activeRequest
 	byClient map[Client]*activeRequest // only requests whose clients still wait for an answer
+	executed *executed.IDs             // of requests that are no longer active and must not execute again
 }
 
 func newRequestTable() requestTable {
@@ -29,6 +31,7 @@
 		byState:  map[*decision.Request]*activeRequest{},
 		byID:     map[string]*activeRequest{},
 		byClient: map[Client]*activeRequest{},
+		executed: executed.New(executed.DefaultLimit),
 	}
 }
 
@@ -44,17 +47,27 @@
 	request.client = nil
 }
 
+// remove removes a request that has its answer, or whose client has left, and that has no attempt in flight.
 func (t *requestTable) remove(request *activeRequest) {
+	if request.state.MustNotExecuteAgain() {
+		t.executed.Add(request.id)
+	}
 	delete(t.byState, request.state)
 	delete(t.byID, request.id)
 }
 
+// isKnown reports whether a request with this id is active, or must not execute again.
+func (t *requestTable) isKnown(id string) bool {
+	return t.byID[id] != nil || t.executed.Contains(id)
+}
+
 // RequestArrived posts a request that a client has sent. The request fails immediately if another active request has
-// the same id, as an endpoint would take both for the same request. It is rejected immediately if the router has ended.
+// the same id, as an endpoint would take both for the same request, or if an earlier one with that id may have executed
+// and must not do so again. It is rejected immediately if the router has ended.
 func (r *Router) RequestArrived(request protocol.Request, client Client) {
 	arrivedAt := r.clock() // time spent in the event queue counts against the deadline
 	posted := r.post(func(now monotonic.Time) {
-		if r.requests.byID[request.ID] != nil {
+		if r.requests.isKnown(request.ID) {
 			client.Fail()
 			return
 		}
