--- a/cmd/gateway/build.go
+++ b/cmd/gateway/build.go
@@ -255,7 +255,8 @@
 		OnRequest: func(request protocol.Request, response *transport.PendingResponse) {
 			g.router.RequestArrived(request, response)
 		},
-		OnDisconnect: func(response *transport.PendingResponse) { g.router.ClientDisconnected(response) },
+		OnDisconnect:     func(response *transport.PendingResponse) { g.router.ClientDisconnected(response) },
+		OnReadingStopped: func(response *transport.PendingResponse) { g.router.StopAttempts(response) },
 	})
 	return err
 }
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -48,6 +48,9 @@
 	if request.completed || request.inFlight > 0 {
 		return Decision{Action: ActionNone}
 	}
+	if request.stopped {
+		return lb.rejectOrFail(request, ReasonAttemptsStopped)
+	}
 	if len(request.attempts) >= lb.attemptLimits.maxAttempts {
 		return lb.rejectOrFail(request, ReasonAttemptsExhausted)
 	}
--- a/decision/messages.go
+++ b/decision/messages.go
@@ -81,6 +81,7 @@
 	ReasonDeadlineTooClose                      // less time is left than an attempt is expected to take
 	ReasonAttemptsExhausted                     // the request has had the largest number of attempts allowed
 	ReasonMayHaveExecuted                       // an attempt may have executed, and no other attempt may follow
+	ReasonAttemptsStopped                       // the client may leave unnoticed, see StopAttempts
 )
 
 // Decision is what happens to a request: the attempt to start, or the final answer for the client.
@@ -149,7 +150,7 @@
 
 // String returns the name of the reason for logs.
 func (r RejectReason) String() string {
-	return [...]string{"none", "deadline too close", "attempts exhausted", "may have executed"}[r]
+	return [...]string{"none", "deadline too close", "attempts exhausted", "may have executed", "attempts stopped"}[r]
 }
 
 // String returns the name of the verdict for logs.
--- a/decision/request.go
+++ b/decision/request.go
@@ -64,6 +64,13 @@
 	lb.dequeue(request)
 }
 
+// StopAttempts forbids further attempts of a request whose client may leave unnoticed, as its connection is not read any
+// further, and decides what to do with the request if no attempt is in flight.
+func (lb *Balancer) StopAttempts(request *Request, now monotonic.Time) Decision {
+	request.stopped = true
+	return lb.Route(request, now)
+}
+
 // ShortenDeadline moves the deadline of a request forward, for example if the gateway shuts down before the client
 // gives up.
 func (lb *Balancer) ShortenDeadline(request *Request, lastAnswer monotonic.Time) {
@@ -108,6 +115,7 @@
 	attempts  []*Attempt
 	inFlight  int  // number of attempts that have not ended
 	completed bool // the request has its final answer, or its client has left
+	stopped   bool // no further attempt may start
 
 	opType          *OpType
 	key             uint64         // requests with the same key are related; 0 if the request has no key
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -110,6 +110,23 @@
 	})
 }
 
+// StopAttempts posts that no further attempt may start for a request, as its client may disconnect unnoticed: the client
+// has sent more than is read of it.
+func (r *Router) StopAttempts(client Client) {
+	r.post(func(now monotonic.Time) {
+		request := r.requests.byClient[client]
+		if request == nil {
+			return
+		}
+		r.apply(request, r.balancer.StopAttempts(request.state, now), now)
+		for _, attempt := range request.attempts { // one at most
+			if attempt.handle.Withhold() {
+				r.finishAttempt(attempt, protocol.Response{Outcome: decision.OutcomeNotSent}, now)
+			}
+		}
+	})
+}
+
 // apply carries out the balancer's decision on a request.
 func (r *Router) apply(request *activeRequest, decided decision.Decision, now monotonic.Time) {
 	switch decided.Action {
--- a/internal/routing/requests_test.go
+++ b/internal/routing/requests_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,3 +65,42 @@
 		})
 	}
 }
+
+// A queued request whose client may leave unnoticed is rejected at once, one with an attempt in flight gets its outcome.
+func TestStopAttempts(t *testing.T) {
+	env := newFixture(t, 1)
+	var attempts []AttemptRequest
+	env.router.drivers.StartAttempt = func(attempt AttemptRequest) AttemptHandle {
+		attempts = append(attempts, attempt)
+		return &fakeAttempt{client: &testClient{env: env}, reachedEndpoint: true}
+	}
+	var clients []*answerRecorder
+	for i := range 1000 {
+		client := &answerRecorder{}
+		clients = append(clients, client)
+		env.router.RequestArrived(protocol.Request{OpType: env.opTypes[0], ID: fmt.Sprint(i), Remaining: time.Second,
+			Encode: func(time.Duration) []byte { return nil }}, client)
+		env.router.turn()
+	}
+	started := len(attempts)
+	if started == len(clients) {
+		t.Fatal("no request is queued")
+	}
+	for _, client := range clients {
+		env.router.StopAttempts(client)
+		env.router.turn()
+	}
+	for _, attempt := range attempts[:started] {
+		attempt.Finished(protocol.Response{Outcome: decision.OutcomeSuccess, Value: []byte("value")})
+		env.router.turn()
+	}
+	served, rejected := 0, 0
+	for _, client := range clients {
+		served += client.served
+		rejected += client.rejected
+	}
+	if len(attempts) > started || served != started || rejected != len(clients)-started {
+		t.Errorf("got %d attempts, %d served and %d rejected, want %d, %d and %d", len(attempts), served, rejected,
+			started, started, len(clients)-started)
+	}
+}
--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -98,7 +98,8 @@
 
 // awaitDescriptor reports whether the connection holds a descriptor of the budget. A connection in overflow takes a
 // descriptor that is free or becomes free within reclaim.MinIdle, as connections within the limit that have not
-// sent a request may make room. It does not wait while other connections wait to be accepted.
+// sent a request may make room. It does not wait while other connections wait to be accepted. It returns false if the
+// client has left meanwhile.
 func (c *clientConnection) awaitDescriptor() bool {
 	s := c.server
 	if c.acquireDescriptor() {
@@ -115,7 +116,7 @@
 		case <-retry.C:
 		}
 		if c.acquireDescriptor() {
-			return true
+			return !peerHasClosed(c.rawConn)
 		}
 	}
 	return false
--- a/internal/transport/client_reader.go
+++ b/internal/transport/client_reader.go
@@ -280,12 +280,27 @@
 	return now.Before(deadline)
 }
 
-// awaitDisconnect discards the input after the framing is lost, and reports whether the client closed the connection.
-// It returns false if the gateway closed it, or the client kept it open and sent maxDiscardedBytes.
-func (c *clientConnection) awaitDisconnect() bool {
+// discardResult says how the discarding of input ended.
+type discardResult uint8
+
+const (
+	closedByClient discardResult = iota
+	closedByGateway
+	stillSending // the client sent maxDiscardedBytes and has not closed the connection
+)
+
+// awaitDisconnect discards the input after the framing is lost, until the connection is closed or the client has sent
+// maxDiscardedBytes.
+func (c *clientConnection) awaitDisconnect() discardResult {
 	c.SetReadDeadline(time.Time{})
 	n, err := io.CopyN(io.Discard, c.streamConn, maxDiscardedBytes)
-	return n < maxDiscardedBytes && !errors.Is(err, net.ErrClosed)
+	switch {
+	case n == maxDiscardedBytes:
+		return stillSending
+	case errors.Is(err, net.ErrClosed):
+		return closedByGateway
+	}
+	return closedByClient
 }
 
 // isTimeout reports whether err means that a read reached its deadline.
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -28,18 +28,19 @@
 
 // ClientServer accepts connections from clients, reads their requests and writes the responses.
 type ClientServer struct {
-	quota         *descriptorQuota
-	log           *RateLimitedLog
-	memory        *requestMemory
-	retryAfter    time.Duration
-	maxRemaining  time.Duration
-	overflow      chan struct{} // holds one element for each connection beyond the descriptor limit
-	shortage      *slotShortage
-	firstRequests firstRequestDelay
-	maxIdle       int // above this number of connections that rest, the longest idle ones are closed
-	opTypes       map[string]*decision.OpType
-	onRequest     func(request protocol.Request, response *PendingResponse)
-	onDisconnect  func(response *PendingResponse)
+	quota            *descriptorQuota
+	log              *RateLimitedLog
+	memory           *requestMemory
+	retryAfter       time.Duration
+	maxRemaining     time.Duration
+	overflow         chan struct{} // holds one element for each connection beyond the descriptor limit
+	shortage         *slotShortage
+	firstRequests    firstRequestDelay
+	maxIdle          int // above this number of connections that rest, the longest idle ones are closed
+	opTypes          map[string]*decision.OpType
+	onRequest        func(request protocol.Request, response *PendingResponse)
+	onDisconnect     func(response *PendingResponse)
+	onReadingStopped func(response *PendingResponse)
 
 	mu          sync.Mutex
 	connections []*clientConnection // longest idle first
@@ -64,6 +65,9 @@
 	OnRequest func(request protocol.Request, response *PendingResponse)
 	// OnDisconnect is called for each request whose client disconnected before the response was available.
 	OnDisconnect func(response *PendingResponse)
+	// OnReadingStopped is called for each request without a response whose connection is not read any further, although
+	// the client has sent more. The client may disconnect unnoticed from then on.
+	OnReadingStopped func(response *PendingResponse)
 }
 
 func (c *ClientServerConfig) validate() error {
@@ -72,8 +76,8 @@
 		return errors.New("client server needs a descriptor budget and a log")
 	case c.MaxRequestBytes < 0 || c.MaxRemaining < 0 || c.RetryAfter < 0:
 		return errors.New("client server limits must not be negative")
-	case c.OnRequest == nil || c.OnDisconnect == nil:
-		return errors.New("client server needs the callbacks OnRequest and OnDisconnect")
+	case c.OnRequest == nil || c.OnDisconnect == nil || c.OnReadingStopped == nil:
+		return errors.New("client server needs the callbacks OnRequest, OnDisconnect and OnReadingStopped")
 	}
 	return nil
 }
@@ -85,16 +89,17 @@
 		return nil, err
 	}
 	s := &ClientServer{
-		log:          config.Log,
-		memory:       newRequestMemory(config.MaxRequestBytes),
-		retryAfter:   config.RetryAfter,
-		maxRemaining: config.MaxRemaining,
-		overflow:     make(chan struct{}, config.Budget.overflow),
-		shortage:     newSlotShortage(),
-		maxIdle:      int(idleConnectionShare * float64(config.Budget.limit)),
-		opTypes:      config.OpTypes,
-		onRequest:    config.OnRequest,
-		onDisconnect: config.OnDisconnect,
+		log:              config.Log,
+		memory:           newRequestMemory(config.MaxRequestBytes),
+		retryAfter:       config.RetryAfter,
+		maxRemaining:     config.MaxRemaining,
+		overflow:         make(chan struct{}, config.Budget.overflow),
+		shortage:         newSlotShortage(),
+		maxIdle:          int(idleConnectionShare * float64(config.Budget.limit)),
+		opTypes:          config.OpTypes,
+		onRequest:        config.OnRequest,
+		onDisconnect:     config.OnDisconnect,
+		onReadingStopped: config.OnReadingStopped,
 	}
 	s.quota = config.Budget.addQuota(s, clientShare)
 	return s, nil
--- a/internal/transport/client_server_test.go
+++ b/internal/transport/client_server_test.go
@@ -25,13 +25,14 @@
 		onDisconnect = func(*PendingResponse) {}
 	}
 	server, err := NewClientServer(ClientServerConfig{
-		Budget:          NewDescriptorBudget(reservedDescriptors + minOverflowClients + descriptors),
-		Log:             &RateLimitedLog{},
-		MaxRequestBytes: 1 << 20,
-		MaxRemaining:    time.Minute,
-		OpTypes:         map[string]*decision.OpType{"API.READ look": {}},
-		OnRequest:       onRequest,
-		OnDisconnect:    onDisconnect,
+		Budget:           NewDescriptorBudget(reservedDescriptors + minOverflowClients + descriptors),
+		Log:              &RateLimitedLog{},
+		MaxRequestBytes:  1 << 20,
+		MaxRemaining:     time.Minute,
+		OpTypes:          map[string]*decision.OpType{"API.READ look": {}},
+		OnRequest:        onRequest,
+		OnDisconnect:     onDisconnect,
+		OnReadingStopped: func(*PendingResponse) {},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -17,6 +17,12 @@
 	// malformedRequestDelay is the pause before a connection is read again after a malformed request. It limits the
 	// cost of a client that keeps sending malformed requests.
 	malformedRequestDelay = 100 * time.Millisecond
+	// disconnectPoll is the interval at which it is checked during that pause whether the client has left. No attempt may
+	// begin more than 100 ms after that.
+	disconnectPoll = 20 * time.Millisecond
+	// maxUnreadInPause is how many bytes may wait to be read during that pause: less than any receive buffer holds, so
+	// that a disconnect behind them is seen.
+	maxUnreadInPause = 32 << 10
 )
 
 // The commands that clients send.
@@ -39,6 +45,7 @@
 	rejected       int                // requests rejected for lack of memory since rejectingSince
 	rejectingSince time.Time
 	writerStarted  bool
+	clientLeft     bool // the client closed the connection behind what has been read
 }
 
 func newClientSession(c *clientConnection) *clientSession {
@@ -52,7 +59,7 @@
 // read any further: its outstanding responses are written, and it is closed.
 func (s *clientSession) readRequests() {
 	c := s.connection
-	for !c.framingLost {
+	for !c.framingLost && !s.clientLeft {
 		request, err := c.readRequest()
 		var malformed malformedRequestError
 		if err != nil && !errors.As(err, &malformed) && !errors.Is(err, errOutOfMemory) {
@@ -89,15 +96,29 @@
 	}
 }
 
-// pauseReading waits for malformedRequestDelay. If another connection waits for a slot meanwhile, this one is not read any
-// further, as its client may have sent hundreds of malformed requests and would keep its slot for a pause each.
+// pauseReading waits for malformedRequestDelay, and ends the reading if the client leaves meanwhile. It also ends it, with
+// the connection closed behind its responses, if another connection waits for a slot, as the client may have sent hundreds
+// of malformed requests and would keep its slot for a pause each, or if earlier requests are pending and so much waits to
+// be read that the client could leave unnoticed.
 func (s *clientSession) pauseReading() {
-	pause := time.NewTimer(malformedRequestDelay)
+	c := s.connection
+	if !s.allAnswered() && unreadBytes(c.rawConn) > maxUnreadInPause {
+		c.framingLost = true
+		return
+	}
+	pause, poll := time.NewTimer(malformedRequestDelay), time.NewTicker(disconnectPoll)
 	defer pause.Stop()
-	select {
-	case <-pause.C:
-	case <-s.connection.server.shortage.waitStarted():
-		s.connection.framingLost = true
+	defer poll.Stop()
+	for !s.clientLeft {
+		select {
+		case <-pause.C:
+			return
+		case <-poll.C:
+			s.clientLeft = peerHasClosed(c.rawConn)
+		case <-c.server.shortage.waitStarted():
+			c.framingLost = true
+			return
+		}
 	}
 }
 
@@ -123,21 +144,36 @@
 }
 
 // finishReading ends the session on the reader's side, once no further request is read. If the client has disconnected,
-// it reports each request that has no response yet to onDisconnect.
+// it reports each request that has no response yet to onDisconnect. If the client goes on sending, so that its disconnect
+// would not be seen, it reports them to onReadingStopped, and the connection is closed after its last response.
 func (s *clientSession) finishReading() {
 	c := s.connection
 	c.releaseBuffer()
 	close(s.responses)
-	if c.framingLost && (s.allAnswered() || !c.awaitDisconnect()) {
-		return // the connection is closed after its last response, or the client sends without end
+	if c.framingLost {
+		if s.allAnswered() {
+			return // the connection is closed after its last response
+		}
+		switch c.awaitDisconnect() {
+		case closedByGateway:
+			return
+		case stillSending:
+			s.reportUnanswered(c.server.onReadingStopped)
+			return
+		}
 	}
 	close(s.disconnected)
 	if !s.writerStarted {
 		c.Close()
 	}
+	s.reportUnanswered(c.server.onDisconnect)
+}
+
+// reportUnanswered calls report for each request that has no response yet.
+func (s *clientSession) reportUnanswered(report func(*PendingResponse)) {
 	for _, response := range s.unanswered {
 		if !response.isDone() {
-			c.server.onDisconnect(response)
+			report(response)
 		}
 	}
 }
--- a/internal/transport/config_test.go
+++ b/internal/transport/config_test.go
@@ -30,18 +30,20 @@
 	checkConfig(t, ClientServerConfig{
 		Budget: NewDescriptorBudget(reservedDescriptors + minOverflowClients + 4), Log: &RateLimitedLog{},
 		MaxRequestBytes: 1, MaxRemaining: time.Second,
-		OnRequest:    func(protocol.Request, *PendingResponse) {},
-		OnDisconnect: func(*PendingResponse) {},
+		OnRequest:        func(protocol.Request, *PendingResponse) {},
+		OnDisconnect:     func(*PendingResponse) {},
+		OnReadingStopped: func(*PendingResponse) {},
 	}, func(config ClientServerConfig) error {
 		_, err := NewClientServer(config)
 		return err
 	}, map[string]func(*ClientServerConfig){
-		"no budget":                     func(c *ClientServerConfig) { c.Budget = nil },
-		"no log":                        func(c *ClientServerConfig) { c.Log = nil },
-		"negative request bytes":        func(c *ClientServerConfig) { c.MaxRequestBytes = -1 },
-		"negative remaining time":       func(c *ClientServerConfig) { c.MaxRemaining = -1 },
-		"no callback for requests":      func(c *ClientServerConfig) { c.OnRequest = nil },
-		"no callback for disconnection": func(c *ClientServerConfig) { c.OnDisconnect = nil },
+		"no budget":                          func(c *ClientServerConfig) { c.Budget = nil },
+		"no log":                             func(c *ClientServerConfig) { c.Log = nil },
+		"negative request bytes":             func(c *ClientServerConfig) { c.MaxRequestBytes = -1 },
+		"negative remaining time":            func(c *ClientServerConfig) { c.MaxRemaining = -1 },
+		"no callback for requests":           func(c *ClientServerConfig) { c.OnRequest = nil },
+		"no callback for disconnection":      func(c *ClientServerConfig) { c.OnDisconnect = nil },
+		"no callback for the end of reading": func(c *ClientServerConfig) { c.OnReadingStopped = nil },
 	})
 }
 
