--- a/decision/admission.go
+++ b/decision/admission.go
@@ -9,9 +9,9 @@
 
 const (
 	overQuotaPriority = 0.01 // factor on the priority of a request that exceeds the quota of its tenant
-	// pipelinedPriority is the factor on the priority of a request whose client has another one waiting on the same
-	// connection. A client that sends hundreds at once thus takes its turn after those that send one at a time.
-	pipelinedPriority    = 0.01
+	// lastPriority is the factor on the priority of a request that goes last. Clients that send hundreds of requests at
+	// once, on one connection or on ever new ones, thus take their turn after usual clients.
+	lastPriority         = 0.01
 	lateShare            = 0.7 // an answer that takes longer than this share of the latency objective is late
 	saturatedUtilization = 0.9 // an endpoint that reports a higher utilization is full
 )
@@ -26,7 +26,7 @@
 	Key       uint64        // requests with the same key are related; 0 if the request has no key
 	Work      time.Duration // expected work; 0 if unknown
 	Remaining time.Duration // time until the client gives up
-	Pipelined bool          // an earlier request of the same connection waits for its answer
+	GoesLast  bool          // its turn comes after all other requests, see reclaim.Connection
 }
 
 // Admit creates the state of a request that has arrived, with its deadlines and its priority. Route then decides what
@@ -40,8 +40,8 @@
 	if arrival.Tenant != nil && lb.admission.quotas.RecordRequest(arrival.Tenant, now) {
 		request.priority *= overQuotaPriority
 	}
-	if arrival.Pipelined {
-		request.priority *= pipelinedPriority
+	if arrival.GoesLast {
+		request.priority *= lastPriority
 	}
 	lb.canary.exposure.RecordRequest(op.index, now)
 	lb.admission.arrivalRate.Record(now)
--- a/decision/reclaim/reclaim.go
+++ b/decision/reclaim/reclaim.go
@@ -51,6 +51,12 @@
 	return c.Activity == Resting || c.Activity == Busy && c.Pending == 1
 }
 
+// GoesLast reports whether a request of the connection takes its turn after those of others: if it was sent behind another
+// one that waits for its response, or if the connection is not known to be used as usual clients do, amid a crowd.
+func (c Connection) GoesLast(crowded bool) bool {
+	return c.Pending > 1 || crowded && !c.Answered
+}
+
 // Candidate is a connection that may be closed.
 type Candidate struct {
 	Index    int // in the list of connections
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -42,7 +42,7 @@
 	Key       uint64 // hash of the key, 0 if the request has none
 	ID        string
 	Remaining time.Duration // time until the client gives up
-	Pipelined bool          // an earlier request of the same connection waits for its response
+	GoesLast  bool          // its turn comes after all other requests
 	// Encode returns the request as sent to an endpoint. It tells the endpoint how long the gateway waits for the
 	// response, in whole milliseconds and at least 1.
 	Encode func(wait time.Duration) []byte
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -83,7 +83,7 @@
 	if r.shutdownAt > 0 {
 		remaining = min(remaining, r.shutdownAt-now)
 	}
-	arrival := decision.Arrival{OpType: request.OpType, Key: request.Key, Remaining: remaining, Pipelined: request.Pipelined}
+	arrival := decision.Arrival{OpType: request.OpType, Key: request.Key, Remaining: remaining, GoesLast: request.GoesLast}
 	active := &activeRequest{
 		id:       request.ID,
 		state:    r.balancer.Admit(arrival, now),
--- a/internal/transport/client_connection.go
+++ b/internal/transport/client_connection.go
@@ -167,13 +167,6 @@
 	return true
 }
 
-// pendingRequests returns the number of requests that wait for their responses.
-func (c *clientConnection) pendingRequests() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending
-}
-
 // finishRequest records that the response to a request was written. If the server is draining or the connection is in
 // overflow, it closes the connection if it is idle, or schedules that.
 func (c *clientConnection) finishRequest() {
--- a/internal/transport/client_reclaim.go
+++ b/internal/transport/client_reclaim.go
@@ -109,6 +109,7 @@
 // closeExcessIdle closes the longest idle of the connections that rest, if more than maxIdle of them do.
 func (s *ClientServer) closeExcessIdle() {
 	connections, described := s.describeConnections(withinLimit)
+	s.crowded.Store(reclaim.IsCrowded(described, s.quota.limit))
 	for _, index := range reclaim.ExcessResting(described, s.maxIdle) {
 		connections[index].closeIfIdle(reclaim.MinIdle, withinLimit)
 	}
--- a/internal/transport/client_server.go
+++ b/internal/transport/client_server.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -35,6 +36,7 @@
 	maxRemaining     time.Duration
 	overflow         chan struct{} // holds one element for each connection beyond the descriptor limit
 	shortage         *slotShortage
+	crowded          atomic.Bool // see reclaim.IsCrowded, as of the latest sweep
 	firstRequests    firstRequestDelay
 	maxIdle          int // above this number of connections that rest, the longest idle ones are closed
 	opTypes          map[string]*decision.OpType
--- a/internal/transport/client_session.go
+++ b/internal/transport/client_session.go
@@ -193,7 +193,7 @@
 		if err != nil {
 			return err
 		}
-		request.Pipelined = c.pendingRequests() > 1
+		request.GoesLast = c.describe(time.Now()).GoesLast(s.crowded.Load())
 		request.Remaining = min(request.Remaining, s.maxRemaining)
 		if !c.awaitDescriptor() {
 			request.Remaining = 0
