--- a/internal/transport/client_leaving_test.go
+++ b/internal/transport/client_leaving_test.go
@@ -13,6 +13,7 @@
 // maxAttemptDelay is how long after its client left an attempt of a request may begin at most.
 const maxAttemptDelay = 100 * time.Millisecond
 
+// lookRequest is a complete read of the op type of newTestServer.
 const lookRequest = "*4\r\n$8\r\nAPI.READ\r\n$1\r\nk\r\n$1\r\n1\r\n$14\r\nc=look,d=20000\r\n"
 
 // serveOne starts the session of one connection whose requests get no response, and returns the client's end.
