--- a/decision/rules.go
+++ b/decision/rules.go
@@ -25,10 +25,10 @@
 }
 
 // AttemptAllowed reports whether an attempt of which nothing has been sent may still be sent. It may not if the request
-// is completed, its client has left or may leave unnoticed, if the endpoint is no longer usable, has restarted or runs another build, if the
-// attempt could repeat the effect of an earlier one, if a later build has answered the request's sticky key, or if the
-// attempt is at a canary build whose exposure cap has dropped to 0. These things may change while the attempt waits for
-// a connection. A cap that was lowered, but not to 0, takes effect when the attempt is connected.
+// is completed, if its client has left or may leave unnoticed, if the endpoint is no longer usable, has restarted or runs
+// another build, if the attempt could repeat the effect of an earlier one, if a later build has answered the request's
+// sticky key, or if the attempt is at a canary build whose exposure cap has dropped to 0. These things may change while
+// the attempt waits for a connection. A cap that was lowered, but not to 0, takes effect when the attempt is connected.
 func (lb *Balancer) AttemptAllowed(attempt *Attempt, now monotonic.Time) bool {
 	request, endpoint := attempt.request, attempt.endpoint
 	return !request.completed && !request.stopped && lb.endpointUsable(endpoint, now) &&
