--- a/internal/transport/client_leaving_test.go
+++ b/internal/transport/client_leaving_test.go
@@ -24,6 +24,7 @@
 	server := newTestServer(t, 4, nil, nil)
 	config(server)
 	c, client := connectIdle(t, server, true)
+	c.lastActive = time.Now() // it is not closed as idle before the client sends
 	go newClientSession(c).readRequests()
 	return client
 }
