--- a/internal/routing/attempts.go
+++ b/internal/routing/attempts.go
@@ -65,7 +65,14 @@
 	r.requestLog.attemptConnected(attempt.request.id, attempt.state.Number(), now-attempt.startedAt, allowed)
 	if allowed {
 		attempt.handle.Proceed(now)
-	} else if attempt.handle.Withhold() {
+	} else {
+		r.withhold(attempt, now)
+	}
+}
+
+// withhold ends an attempt if nothing of it has been sent.
+func (r *Router) withhold(attempt *activeAttempt, now monotonic.Time) {
+	if attempt.handle.Withhold() {
 		r.finishAttempt(attempt, protocol.Response{Outcome: decision.OutcomeNotSent}, now)
 	}
 }
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -120,9 +120,7 @@
 		}
 		r.apply(request, r.balancer.StopAttempts(request.state, now), now)
 		for _, attempt := range request.attempts { // one at most
-			if attempt.handle.Withhold() {
-				r.finishAttempt(attempt, protocol.Response{Outcome: decision.OutcomeNotSent}, now)
-			}
+			r.withhold(attempt, now)
 		}
 	})
 }
